--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,6 @@
 	$(RUN) -m bench.slopes
 
 lock:
-	$(VENV)/bin/pip-compile -q --extra dev --generate-hashes --allow-unsafe \
+	$(PYTHON) -m piptools compile -q --extra dev --generate-hashes --allow-unsafe \
 		--no-header --no-annotate --no-emit-index-url --no-emit-trusted-host \
 		--no-emit-find-links -o requirements.lock pyproject.toml
--- a/src/daisydyke/_adapters/_http_client.py
+++ b/src/daisydyke/_adapters/_http_client.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from .._domain._model import Address
+from .._domain._model import Address, HeaderFields
 from ..exceptions import ConnectionLostError, ProtocolViolationError
 from ._sockets import connect
 
@@ -30,21 +30,33 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """A whole response; header names are lower case."""
+    """A whole response; header names are lower case.
+
+    Parameters:
+        fields: further header fields, sent as they are.
+        content_type: None for a response without one of its own.
+    """
 
     status: int
     body: bytes
     headers: dict[str, str] = field(default_factory=dict)
+    fields: HeaderFields = ()
+    content_type: str | None = 'application/json'
 
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A whole request; ``target`` is the path with its query string."""
+    """A whole request; ``target`` is the path with its query string.
+
+    Parameters:
+        fields: all header fields as received, with lower-case names.
+    """
 
     method: str
     target: str
     body: bytes = b''
     headers: dict[str, str] = field(default_factory=dict)
+    fields: HeaderFields = ()
 
 
 class HttpConnection:
--- a/src/daisydyke/_adapters/_observability.py
+++ b/src/daisydyke/_adapters/_observability.py
@@ -10,6 +10,7 @@
 
 from .._domain._model import Address
 from .._ports import Metrics
+from ._bounded_stream import BoundedStream
 
 
 class JsonDecisionLog:
@@ -34,9 +35,16 @@
         """Drop a timer."""
 
 
-def make_logger(vm_name: str) -> logging.Logger:
-    """Return a logger that writes JSON lines to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+def make_logger(
+    vm_name: str,
+    stream: BoundedStream | None = None,
+) -> logging.Logger:
+    """Return a logger that writes JSON lines.
+
+    Parameters:
+        stream: standard error if none is given.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             '%(event)s',
--- /dev/null
+++ b/src/daisydyke/_backends/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: what is known of them, connections, extra load."""
--- /dev/null
+++ b/src/daisydyke/_backends/_connection.py
@@ -0,0 +1,182 @@
+"""One connection to a backend server, read by a task of its own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import curio
+
+from .._adapters._sockets import connect
+from .._ports import Clock
+from .._requests._model import ExchangeFailure, FailureReason, Reply
+from ..exceptions import ConnectionLostError, ProtocolViolationError
+from ._exchange import Exchange, ExchangeOutcome
+from ._server import BackendServer
+
+_READ_BYTES = 65536
+_CONNECT_TIMEOUT_S = 1.0
+
+
+class ReplyStream(Protocol):
+    """Splits the bytes of a connection into replies."""
+
+    def expect(self, *, bodiless: bool) -> None:
+        """Prepare for the reply to the next request.
+
+        Parameters:
+            bodiless: whether the reply has no body whatever its header says.
+        """
+
+    def feed(self, received: bytes) -> list[Reply]:
+        """Return the replies that these bytes complete.
+
+        Raises:
+            ProtocolViolationError: the bytes are no response.
+        """
+
+    def finish(self) -> Reply | None:
+        """Return the reply that the end of the stream completes."""
+
+
+Ended = Callable[['BackendConnection', Exchange, ExchangeOutcome], None]
+
+
+class BackendConnection:
+    """Carries one exchange at a time.
+
+    The reading task runs as long as the connection, so that an idle
+    connection that the server closes, or on which bytes come that belong to
+    no request, is noticed before it is used again.
+    """
+
+    def __init__(
+        self,
+        server: BackendServer,
+        replies: ReplyStream,
+        clock: Clock,
+        ended: Ended,
+    ) -> None:
+        """Connect once an exchange is given."""
+        self.server = server
+        self.exchange: Exchange | None = None
+        self.idle_until: float = 0
+        self.idle_since: float = 0
+        self.abandoned_until: float = 0
+        self.opened = False
+        self._replies = replies
+        self._clock = clock
+        self._ended = ended
+        self._socket: curio.io.Socket | None = None
+        self._task: curio.Task | None = None
+        self._closed = False
+
+    async def open(self, exchange: Exchange) -> None:
+        """Connect in the background and send the exchange."""
+        self._assign(exchange)
+        self._task = await curio.spawn(self._run(), daemon=True)
+
+    async def submit(self, exchange: Exchange) -> None:
+        """Send an exchange on the open, idle connection."""
+        self._assign(exchange)
+        try:
+            await self._send(exchange)
+        except OSError:
+            await self.close()
+
+    async def close(self) -> None:
+        """End the connection; an open exchange fails."""
+        if self._closed:
+            return
+        await self._end(FailureReason.CLOSED)
+        if self._task is not None:
+            await self._task.cancel(blocking=False)
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended or is about to."""
+        return self._closed
+
+    def _assign(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+        exchange.connection = self
+        self._replies.expect(bodiless=exchange.bodiless)
+
+    async def _send(self, exchange: Exchange) -> None:
+        if self._socket is None:
+            raise ConnectionLostError('closed before the request was sent')
+        exchange.sent = True
+        await self._socket.sendall(exchange.payload)
+
+    async def _run(self) -> None:
+        reason = FailureReason.CLOSED
+        try:
+            reason = await self._connect_and_read()
+        except (OSError, ConnectionLostError):
+            reason = FailureReason.CLOSED
+        except ProtocolViolationError:
+            reason = FailureReason.GARBLED
+        finally:
+            await self._end(reason)
+            if self._socket is not None:
+                await self._socket.close()
+
+    async def _connect_and_read(self) -> FailureReason:
+        address = self.server.record.address
+        async with curio.ignore_after(_CONNECT_TIMEOUT_S):
+            self._socket = await connect(address.host, address.port)
+        if self.exchange is None or self._socket is None:
+            return FailureReason.CONNECT
+        self.opened = True
+        await self._send(self.exchange)
+        while True:
+            received = await self._socket.recv(_READ_BYTES)
+            if not received:
+                await self._finish()
+                return FailureReason.CLOSED
+            for reply in self._replies.feed(received):
+                if not await self._take(reply):
+                    return FailureReason.GARBLED
+
+    async def _finish(self) -> None:
+        last = self._replies.finish()
+        if last is not None:
+            await self._take(last)
+
+    async def _take(self, reply: Reply) -> bool:
+        """Deliver a reply; tells whether the connection can go on."""
+        exchange = self.exchange
+        if exchange is None:
+            return False
+        if reply.request_id and reply.request_id != exchange.request_id:
+            # A second response to an earlier request; ours may follow.
+            return True
+        if reply.keep_alive <= 0:
+            self._closed = True
+        self._release(reply.keep_alive)
+        self._ended(self, exchange, reply)
+        if exchange.outcomes is not None:
+            await exchange.outcomes.put(exchange, reply)
+        return not self._closed
+
+    def _release(self, keep_alive: float) -> None:
+        now = self._clock.monotonic()
+        self.exchange = None
+        self.idle_since = now
+        self.idle_until = now + keep_alive
+        self.abandoned_until = 0
+
+    async def _end(self, reason: FailureReason) -> None:
+        self._closed = True
+        self.server.connections.discard(self)
+        exchange = self.exchange
+        if exchange is None:
+            return
+        self.exchange = None
+        failure = ExchangeFailure(
+            reason if exchange.sent else FailureReason.CONNECT,
+            ran=exchange.sent,
+        )
+        self._ended(self, exchange, failure)
+        if exchange.outcomes is not None:
+            await exchange.outcomes.put(exchange, failure)
--- /dev/null
+++ b/src/daisydyke/_backends/_exchange.py
@@ -0,0 +1,70 @@
+"""One request sent to one backend server, and where its outcome goes."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import curio
+
+from .._requests._model import ExchangeFailure, Reply
+
+if TYPE_CHECKING:
+    from ._connection import BackendConnection
+    from ._server import BackendServer
+
+ExchangeOutcome = Reply | ExchangeFailure
+
+
+class Outcomes:
+    """Outcomes that one request's dispatcher waits for."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._ended: deque[tuple[Exchange, ExchangeOutcome]] = deque()
+        self._event = curio.Event()
+
+    async def put(self, exchange: Exchange, outcome: ExchangeOutcome) -> None:
+        """Add the one outcome of an exchange."""
+        self._ended.append((exchange, outcome))
+        if not self._event.is_set():
+            await self._event.set()
+
+    async def wait(
+        self,
+        timeout: float,
+    ) -> list[tuple[Exchange, ExchangeOutcome]]:
+        """Return what has ended; empty after ``timeout`` seconds."""
+        if not self._ended and timeout > 0:
+            await curio.ignore_after(timeout, self._event.wait())
+        self._event.clear()
+        ended = list(self._ended)
+        self._ended.clear()
+        return ended
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """A request on its way to a server.
+
+    Parameters:
+        number: unique in this process.
+        part: position of the shard in the caller's request.
+        payload: the encoded request.
+        deadline: monotonic time after which no answer is wanted.
+        outcomes: None once the outcome is no longer wanted.
+    """
+
+    number: int
+    part: int
+    request_id: str
+    server: BackendServer
+    payload: bytes
+    started: float
+    deadline: float
+    idempotent: bool
+    bodiless: bool
+    outcomes: Outcomes | None
+    sent: bool = False
+    connection: BackendConnection | None = None
--- /dev/null
+++ b/src/daisydyke/_cli/_gateway.py
@@ -0,0 +1,142 @@
+"""The gateway daemon: serves callers by the routes of the platform's store."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from functools import partial
+from pathlib import Path
+
+import click
+import curio
+from returns.result import Success
+
+from .._adapters._signals import SignalStream
+from .._ports import VmRecord
+from ..platform._settings import NodeSettings, load_node_settings
+from ._gateway_wiring import Gateway
+
+_SETTINGS_VARIABLE = 'DAISYDYKE_NODE_FILE'
+_EXIT_INVALID_SETTINGS = 2
+_RESTART_PAUSE_S = 0.5
+_JOIN_POLL_S = 0.05
+_EXIT_MARGIN_S = 0.4
+# Part of the grace time in which callers still reach the VM that leaves.
+_LINGER_PART = 0.55
+_GC_THRESHOLD = 20000
+
+Run = Callable[[], Awaitable[None]]
+
+
+@click.command()
+@click.argument(
+    'settings_file',
+    type=click.Path(path_type=Path),
+    envvar=_SETTINGS_VARIABLE,
+)
+@click.option(
+    '--check-settings',
+    is_flag=True,
+    help='Check the settings file and exit.',
+)
+def main(settings_file: Path, check_settings: bool) -> None:  # noqa: FBT001
+    """Run a gateway daemon with the settings in SETTINGS_FILE."""
+    loaded = load_node_settings(settings_file)
+    if not isinstance(loaded, Success):
+        click.echo(str(loaded.failure()), err=True)
+        sys.exit(_EXIT_INVALID_SETTINGS)
+    if check_settings:
+        click.echo(f'{settings_file}: valid')
+        return
+    curio.run(run_gateway, loaded.unwrap(), settings_file)
+
+
+async def run_gateway(settings: NodeSettings, path: Path) -> None:
+    """Run until SIGTERM or SIGINT, then shut down gracefully."""
+    gateway = Gateway(settings)
+    gateway.log.record('start', domain=settings.domain)
+    signals = SignalStream(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    await _start(gateway)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_GC_THRESHOLD)
+    while await signals.next() is signal.SIGHUP:
+        _reload(gateway, path)
+    await _leave(gateway)
+
+
+def _reload(gateway: Gateway, path: Path) -> None:
+    loaded = load_node_settings(path)
+    if isinstance(loaded, Success):
+        changed = loaded.unwrap() != gateway.settings
+        gateway.log.record('reload', changed=changed)
+    else:
+        gateway.log.record('reload_failed', error=str(loaded.failure()))
+
+
+async def _start(gateway: Gateway) -> None:
+    settings = gateway.settings
+    await gateway.readiness.start(settings.readiness)
+    await gateway.directory.start(settings.directory)
+    await gateway.callers.start(settings.callers)
+    runs: tuple[Run, ...] = (
+        *(mirror.run for mirror in gateway.mirrors),
+        gateway.servers.run_removals,
+        partial(gateway.pool.run, gateway.registry.all),
+        gateway.membership.run_receiver,
+        gateway.membership.run_probes,
+        partial(_join, gateway),
+    )
+    for run in runs:
+        await curio.spawn(_supervise(gateway, run), daemon=True)
+
+
+async def _supervise(gateway: Gateway, run: Run) -> None:
+    """Run a task that should never end; log its failures and go on."""
+    while True:
+        try:
+            await run()
+        except Exception as error:
+            gateway.log.record(
+                'task_failed',
+                error=f'{type(error).__name__}: {error}',
+            )
+        await curio.sleep(_RESTART_PAUSE_S)
+
+
+async def _join(gateway: Gateway) -> None:
+    """Take requests once configuration and servers are known."""
+    record = VmRecord(
+        gateway.settings.vm,
+        gateway.settings.gossip.host,
+        leaving=False,
+    )
+    registered = await gateway.store.register_vm(record)
+    while not isinstance(registered, Success):
+        gateway.log.record('register_failed', error=str(registered.failure()))
+        await gateway.health.failed(registered.failure())
+        registered = await gateway.store.register_vm(record)
+    gateway.health.succeeded()
+    while not gateway.is_informed():
+        await curio.sleep(_JOIN_POLL_S)
+    gateway.membership.join()
+    gateway.log.record('ready')
+    await gateway.membership.run_seeds(gateway.store, ())
+
+
+async def _leave(gateway: Gateway) -> None:
+    """Leave the directory, serve those who still come, then drain."""
+    grace = gateway.settings.grace
+    gateway.log.record('leaving')
+    gateway.membership.leave()
+    gateway.callers.retire()
+    await curio.sleep(grace * _LINGER_PART)
+    remaining = grace * (1 - _LINGER_PART) - _EXIT_MARGIN_S
+    await curio.ignore_after(remaining, gateway.callers.drain())
+    gateway.log.record('stop', unfinished=gateway.callers.busy)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -0,0 +1,231 @@
+"""Composition root of the gateway daemon."""
+
+from __future__ import annotations
+
+import sys
+import time
+from dataclasses import dataclass
+from itertools import count
+
+from .._adapters._bounded_stream import BoundedStream
+from .._adapters._clock import RuntimeClock
+from .._adapters._datagrams import Digest, Member, Status, UdpGossip
+from .._adapters._http_server import HttpLimits, HttpServer
+from .._adapters._observability import (
+    JsonDecisionLog,
+    NullMetrics,
+    make_logger,
+)
+from .._backends._cold_admission import ColdAdmission
+from .._backends._extra_load import ExtraLoad
+from .._backends._pool import ConnectionPool
+from .._backends._registry import ServerRegistry, usable
+from .._backends._server import BackendServer
+from .._mirror._mirror import KindMirror
+from .._mirror._sinks import DomainSink, ServerSink, TableSink
+from .._mirror._store_health import StoreHealth
+from .._requests._dispatch import DispatchPorts
+from .._requests._model import ServicePolicy
+from .._requests._service import RequestPorts, RequestService
+from .._services._address_book import AddressBook
+from .._services._membership import Membership
+from ..platform._callers import (
+    CallerHandler,
+    DirectoryHandler,
+    ReadinessHandler,
+)
+from ..platform._documents import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    OUT_DOMAIN_KIND,
+    SERVER_KIND,
+    decode_configuration,
+    decode_server,
+)
+from ..platform._servers import HttpReplyStream, encode_request
+from ..platform._settings import NodeSettings
+from ..platform._store import ObjectStore
+
+_CONNECTIONS_USED_PART = 0.85
+
+
+@dataclass(frozen=True, slots=True)
+class MirrorDigest:
+    """Version of the configuration in force, for comparison by members."""
+
+    tables: TableSink
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 before the first."""
+        return self.tables.table.version if self.tables.table else 0
+
+    @property
+    def digest(self) -> int:
+        """The version says it all."""
+        return 0
+
+
+class NoLag:
+    """Takes no notice of members that lag."""
+
+    async def differs(self, member: Member, digest: Digest) -> None:
+        """Leave it to the member's own watch."""
+
+
+class Gateway:
+    """The wired parts of a gateway daemon."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Build all parts; nothing runs yet.
+
+        Raises:
+            OSError: the gossip port is in use.
+        """
+        self.settings = settings
+        stream = BoundedStream(sys.stdout.fileno())
+        self.log = JsonDecisionLog(make_logger(settings.vm, stream))
+        self.clock = RuntimeClock()
+        self.store = ObjectStore(settings.store)
+        self.health = StoreHealth(self.clock, self.log)
+        self.registry = ServerRegistry(self.clock, self.log)
+        self.pool = ConnectionPool(
+            HttpReplyStream,
+            self._connection_limit,
+            self.clock,
+        )
+        self.tables = TableSink(
+            CONFIGURATION_NAME,
+            decode_configuration,
+            self.log,
+        )
+        self.domains = DomainSink(self.log)
+        self.servers = ServerSink(
+            self.registry,
+            self.pool,
+            decode_server,
+            self.health,
+            self.clock,
+            self.log,
+        )
+        self.mirrors = [
+            KindMirror(kind, self.store, sink, self.health, self.log)
+            for kind, sink in (
+                (CONFIGURATION_KIND, self.tables),
+                (SERVER_KIND, self.servers),
+                (OUT_DOMAIN_KIND, self.domains),
+            )
+        ]
+        self.membership = self._make_membership()
+        self._cold = ColdAdmission(
+            settings.vm,
+            settings.cold,
+            self._policy,
+            self._alive_names,
+            self.clock,
+        )
+        self._extra_loads: dict[str, ExtraLoad] = {}
+        self.requests = RequestService(self._request_ports())
+        self.callers = HttpServer(
+            CallerHandler(self.requests, self.clock).handle,
+            cancel_on_disconnect=True,
+            limits=self._limits,
+        )
+        book = AddressBook(self.membership, settings.longest_keep)
+        self.directory = HttpServer(DirectoryHandler(book.addresses).handle)
+        self.readiness = HttpServer(ReadinessHandler(self.is_ready).handle)
+
+    def is_ready(self) -> bool:
+        """Tell whether requests can be answered and are wanted."""
+        status = self.membership.me.status
+        return status is Status.ALIVE and self.is_informed()
+
+    def is_informed(self) -> bool:
+        """Tell whether configuration and servers are known."""
+        listed = all(mirror.listed.is_set() for mirror in self.mirrors)
+        return listed and self.tables.table is not None
+
+    def _make_membership(self) -> Membership:
+        settings = self.settings
+        start = int(time.time() * 1000)
+        me = Member(
+            settings.vm,
+            settings.gossip.host,
+            settings.domain,
+            settings.callers.port,
+            settings.peers.port,
+            start,
+            start,
+            Status.JOINING,
+        )
+        return Membership(
+            me,
+            UdpGossip(settings.gossip),
+            MirrorDigest(self.tables),
+            NoLag(),
+            self.clock,
+            self.log,
+        )
+
+    def _request_ports(self) -> RequestPorts:
+        dispatch = DispatchPorts(
+            self.pool,
+            self._candidates,
+            self._cold.admit,
+            self._extra_load,
+            encode_request,
+            self.clock,
+            self.log,
+            self.settings.domain,
+            count(1),
+        )
+        return RequestPorts(
+            dispatch,
+            lambda: self.tables.table,
+            self.clock,
+            self.log,
+            NullMetrics(),
+        )
+
+    def _candidates(self, service: str) -> list[BackendServer]:
+        return usable(self.registry.of_service(service), self.domains.out)
+
+    def _policy(self, service: str) -> ServicePolicy | None:
+        table = self.tables.table
+        return table.services.get(service) if table else None
+
+    def _alive_names(self) -> list[str]:
+        return [member.vm for member in self.membership.alive()]
+
+    def _member_count(self) -> int:
+        return max(1, len(self.membership.members))
+
+    def _connection_limit(self, server: BackendServer) -> int:
+        policy = self._policy(server.record.service)
+        if policy is None:
+            return 1
+        used = policy.maximum_connections * _CONNECTIONS_USED_PART
+        return max(1, int(used / self._member_count()))
+
+    def _extra_load(self, service: str) -> ExtraLoad:
+        known = self._extra_loads.get(service)
+        if known is None:
+            known = ExtraLoad(
+                self.settings.extra_load,
+                self.clock,
+                lambda: 1 / self._member_count(),
+            )
+            self._extra_loads[service] = known
+        return known
+
+    def _limits(self) -> HttpLimits:
+        table = self.tables.table
+        if table is None:
+            return HttpLimits()
+        limits = table.limits
+        return HttpLimits(
+            limits.head_bytes,
+            limits.body_bytes,
+            limits.head_timeout,
+            limits.idle_timeout,
+        )
--- a/src/daisydyke/_domain/_model.py
+++ b/src/daisydyke/_domain/_model.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+# Names in lower case and values of HTTP header fields.
+HeaderFields = tuple[tuple[bytes, bytes], ...]
+
 
 class Outcome(StrEnum):
     """What became of a request, as told to its caller."""
--- /dev/null
+++ b/src/daisydyke/_mirror/__init__.py
@@ -0,0 +1,1 @@
+"""Copies of stored objects that follow the platform store."""
--- /dev/null
+++ b/src/daisydyke/_requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: routes, dispatch to backend servers, answers."""
--- /dev/null
+++ b/src/daisydyke/_requests/_service.py
@@ -0,0 +1,166 @@
+"""Answers callers' requests by the routes in force."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .._domain._latency import LatencyEstimate
+from .._ports import Clock, DecisionLog, Metrics
+from ._dispatch import Dispatch, DispatchPorts, Part, Schedule
+from ._model import (
+    CallerAnswer,
+    CallerRequest,
+    FailureReason,
+    Forwarded,
+    Merged,
+    NotRouted,
+    Refused,
+    Route,
+    Unanswered,
+)
+from ._records import greatest_records
+from ._routes import RoutingTable, choose_service
+
+_DEADLINE_MARGIN_S = 0.008
+_SETTLE_MARGIN_S = 0.009
+_RETRY_AFTER_S = 0.25
+_RETRY_AFTER_UNCONFIGURED_S = 0.5
+_MINIMUM_TIME_S = 0.003
+_ROUNDING = 1e-9
+
+
+@dataclass(frozen=True, slots=True)
+class RequestPorts:
+    """What the request service works with.
+
+    Parameters:
+        table: returns the routes in force, None before the first.
+    """
+
+    dispatch: DispatchPorts
+    table: Callable[[], RoutingTable | None]
+    clock: Clock
+    log: DecisionLog
+    metrics: Metrics
+
+
+class RequestService:
+    """Finds a request's route, dispatches it and composes the answer."""
+
+    def __init__(self, ports: RequestPorts) -> None:
+        """Start with no estimates."""
+        self._ports = ports
+        self._latency: dict[str, LatencyEstimate] = {}
+        self._random = random.Random()  # noqa: S311
+
+    async def handle(self, request: CallerRequest) -> CallerAnswer:
+        """Answer one request by the configuration in force at its start."""
+        table = self._ports.table()
+        if table is None:
+            return Refused('no_configuration', _RETRY_AFTER_UNCONFIGURED_S)
+        route = table.find(request.host, request.path)
+        if route is None:
+            return NotRouted()
+        schedule = self._schedule(request, route)
+        if schedule.deadline - request.received < _MINIMUM_TIME_S:
+            return Refused('deadline_too_near', _RETRY_AFTER_S)
+        services = route.shards or (choose_service(route, self._random),)
+        dispatch = Dispatch(
+            self._ports.dispatch,
+            request,
+            route,
+            services,
+            schedule,
+            self._estimate(route),
+        )
+        await dispatch.run()
+        answer = _compose(route, dispatch.parts)
+        self._log_answer(request, route, table, dispatch, answer)
+        return answer
+
+    def _estimate(self, route: Route) -> LatencyEstimate:
+        return self._latency.setdefault(route.name, LatencyEstimate())
+
+    def _schedule(self, request: CallerRequest, route: Route) -> Schedule:
+        timeout = route.timeout
+        if request.timeout is not None:
+            timeout = min(timeout, request.timeout)
+        deadline = request.received + timeout - _DEADLINE_MARGIN_S
+        settle_at = request.received + route.target_latency - _SETTLE_MARGIN_S
+        enough = 1
+        if route.shards:
+            enough = _least_parts(route)
+        delay = math.inf
+        if route.idempotent:
+            delay = self._estimate(route).hedge_delay
+        return Schedule(deadline, settle_at, enough, delay)
+
+    def _log_answer(
+        self,
+        request: CallerRequest,
+        route: Route,
+        table: RoutingTable,
+        dispatch: Dispatch,
+        answer: CallerAnswer,
+    ) -> None:
+        elapsed = self._ports.clock.monotonic() - request.received
+        outcome = type(answer).__name__.lower()
+        self._ports.metrics.incr(f'requests.{outcome}')
+        self._ports.log.record(
+            'answer',
+            request_id=request.request_id,
+            route=route.name,
+            configuration=table.version,
+            outcome=outcome,
+            elapsed_ms=round(elapsed * 1000, 1),
+            hedges=dispatch.hedges,
+            retries=dispatch.retries,
+            parts=[
+                [
+                    part.service,
+                    part.reason,
+                    [one.server_id for one in part.tried],
+                ]
+                for part in dispatch.parts
+                if part.reply is None or len(part.tried) > 1
+            ],
+        )
+
+
+def _least_parts(route: Route) -> int:
+    shards = len(route.shards)
+    return max(1, math.ceil(route.minimum_share * shards - _ROUNDING))
+
+
+def _compose(route: Route, parts: list[Part]) -> CallerAnswer:
+    if route.shards:
+        return _merge(route, parts)
+    part = parts[0]
+    if part.reply is not None:
+        return Forwarded(part.reply)
+    if part.error is not None and not part.error.claims_not_run:
+        return Forwarded(part.error)
+    return _failure(parts)
+
+
+def _merge(route: Route, parts: list[Part]) -> CallerAnswer:
+    replies = [part.reply for part in parts if part.reply is not None]
+    if len(replies) < _least_parts(route):
+        return _failure(parts)
+    return Merged(
+        tuple(reply.stamp for reply in replies),
+        len(parts) - len(replies),
+        greatest_records((reply.body for reply in replies), route.top),
+    )
+
+
+def _failure(parts: list[Part]) -> CallerAnswer:
+    reasons = sorted({part.reason for part in parts if part.reply is None})
+    reason = ','.join(reasons)
+    if any(part.ran or part.reply for part in parts):
+        late = FailureReason.TIMEOUT in reasons
+        return Unanswered(reason, late)
+    return Refused(reason, _RETRY_AFTER_S)
--- a/src/daisydyke/_services/_membership.py
+++ b/src/daisydyke/_services/_membership.py
@@ -26,7 +26,6 @@
     Status,
 )
 from .._ports import Clock, DecisionLog, Platform
-from ._configuration import Configuration
 
 _PERIOD_S = 0.5
 _ACK_TIMEOUT_S = 0.15
@@ -48,6 +47,18 @@
         """Receive the next datagram and its sender's host."""
 
 
+class DigestSource(Protocol):
+    """What members compare to learn that one of them lags."""
+
+    @property
+    def version(self) -> int:
+        """Version of what is in force on this VM."""
+
+    @property
+    def digest(self) -> int:
+        """Digest of what is in force on this VM."""
+
+
 class ConfigurationLag(Protocol):
     """Told when a member's configuration differs from this VM's."""
 
@@ -68,7 +79,7 @@
         self,
         me: Member,
         datagrams: Datagrams,
-        configuration: Configuration,
+        configuration: DigestSource,
         lag: ConfigurationLag,
         clock: Clock,
         log: DecisionLog,
--- a/src/daisydyke/exceptions.py
+++ b/src/daisydyke/exceptions.py
@@ -42,6 +42,12 @@
     code = 'platform_unavailable'
 
 
+class HistoryGoneError(PlatformError):
+    """The changes after the version watched from are no longer kept."""
+
+    code = 'history_gone'
+
+
 class VersionConflictError(PlatformError):
     """A conditional update named a version that is no longer current.
 
--- /dev/null
+++ b/src/daisydyke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the platform and the product; decides nothing."""
