--- a/src/daisydyke/_requests/_dispatch.py
+++ b/src/daisydyke/_requests/_dispatch.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from itertools import count
+from typing import Protocol
 
 from .._backends._exchange import Exchange, ExchangeOutcome, Outcomes
 from .._backends._extra_load import ExtraLoad
-from .._backends._pool import ConnectionPool
 from .._backends._server import BackendServer
 from .._domain._latency import LatencyEstimate
 from .._ports import Clock, DecisionLog
@@ -33,6 +33,19 @@
 Admit = Callable[[BackendServer], bool]
 
 
+class Exchanges(Protocol):
+    """Carries exchanges to backend servers."""
+
+    def has_room(self, server: BackendServer) -> bool:
+        """Tell whether an exchange could be sent at once."""
+
+    async def submit(self, exchange: Exchange) -> bool:
+        """Send an exchange; False if nothing was sent."""
+
+    async def abandon(self, exchange: Exchange, *, at_once: bool) -> None:
+        """Give up an exchange whose outcome is no longer wanted."""
+
+
 @dataclass(frozen=True, slots=True)
 class DispatchPorts:
     """What a dispatch works with.
@@ -41,7 +54,7 @@
         domain: failure domain of this VM.
     """
 
-    pool: ConnectionPool
+    pool: Exchanges
     candidates: Candidates
     admit: Admit
     extra_load: Callable[[str], ExtraLoad]
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the parts of the gateway."""
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the translation to and from the platform."""
