--- a/src/daisydyke/_requests/_dispatch.py
+++ b/src/daisydyke/_requests/_dispatch.py
@@ -300,9 +300,9 @@
             if self._ports.pool.has_room(server)
         ]
         ranked.sort()
-        for *_, server in ranked:
-            if self._ports.admit(server):
-                return server
+        for candidate in ranked:
+            if self._ports.admit(candidate[-1]):
+                return candidate[-1]
         return None
 
     def _add_timer(self, delay: float, part: Part, *, is_hedge: bool) -> None:
--- a/src/daisydyke/platform/_servers.py
+++ b/src/daisydyke/platform/_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from functools import partial
 from http import HTTPStatus
 
 import httptools
@@ -26,19 +27,23 @@
         A function of the server's identifier and of the seconds until the
         answer is of no use.
     """
-    common = b''.join(_common_pieces(request))
-
-    def _encode_for(server_id: str, left: float) -> bytes:
-        return b'%b%b: %d\r\n%b: %b\r\n\r\n%b' % (
-            common,
-            _headers.DEADLINE_MS,
-            int(left * _MS),
-            _headers.TARGET_INSTANCE,
-            server_id.encode('latin-1'),
-            request.body,
-        )
-
-    return _encode_for
+    return partial(_encode_for, b''.join(_common_pieces(request)), request.body)
+
+
+def _encode_for(
+    common: bytes,
+    body: bytes,
+    server_id: str,
+    left: float,
+) -> bytes:
+    return b'%b%b: %d\r\n%b: %b\r\n\r\n%b' % (
+        common,
+        _headers.DEADLINE_MS,
+        int(left * _MS),
+        _headers.TARGET_INSTANCE,
+        server_id.encode('latin-1'),
+        body,
+    )
 
 
 def _common_pieces(request: CallerRequest) -> Iterator[bytes]:
