--- a/src/daisydyke/_requests/_dispatch.py
+++ b/src/daisydyke/_requests/_dispatch.py
@@ -83,6 +83,7 @@
     reply: Reply | None = None
     error: Reply | None = None
     reason: FailureReason = FailureReason.TIMEOUT
+    answered_at: float = math.inf
     closed: bool = False
 
 
@@ -194,6 +195,7 @@
 
     async def _accept(self, part: Part, reply: Reply) -> None:
         part.reply = reply
+        part.answered_at = self._ports.clock.monotonic()
         self._answered += 1
         self._close(part)
         for loser in part.open:
--- a/src/daisydyke/_requests/_service.py
+++ b/src/daisydyke/_requests/_service.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from heapq import nlargest
 
 from .._domain._latency import LatencyEstimate
 from .._ports import Clock, DecisionLog, Metrics
@@ -30,6 +31,8 @@
 _RETRY_AFTER_UNCONFIGURED_S = 0.5
 _MINIMUM_TIME_S = 0.003
 _ROUNDING = 1e-9
+_SLOWEST = 4
+_MS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +81,7 @@
         )
         await dispatch.run()
         answer = _compose(route, dispatch.parts)
-        self._log_answer(request, route, table, dispatch, answer)
+        self._log_answer(request, route, table, schedule, dispatch, answer)
         return answer
 
     def _estimate(self, route: Route) -> LatencyEstimate:
@@ -103,6 +106,7 @@
         request: CallerRequest,
         route: Route,
         table: RoutingTable,
+        schedule: Schedule,
         dispatch: Dispatch,
         answer: CallerAnswer,
     ) -> None:
@@ -115,21 +119,34 @@
             route=route.name,
             configuration=table.version,
             outcome=outcome,
-            elapsed_ms=round(elapsed * 1000, 1),
+            elapsed_ms=round(elapsed * _MS, 1),
             hedges=dispatch.hedges,
             retries=dispatch.retries,
-            parts=[
-                [
-                    part.service,
-                    part.reason,
-                    [one.server_id for one in part.tried],
-                ]
-                for part in dispatch.parts
-                if part.reply is None or len(part.tried) > 1
+            hedge_after_ms=round(schedule.hedge_delay * _MS, 1),
+            slowest=[
+                _describe(part, request.received)
+                for part in nlargest(_SLOWEST, dispatch.parts, key=_ended_at)
             ],
         )
 
 
+def _ended_at(part: Part) -> float:
+    return part.answered_at
+
+
+def _describe(part: Part, start: float) -> dict[str, object]:
+    described: dict[str, object] = {
+        'service': part.service,
+        'servers': [one.server_id for one in part.tried],
+    }
+    if part.reply is None:
+        described['failure'] = part.reason
+    else:
+        elapsed = part.answered_at - start
+        described['elapsed_ms'] = round(elapsed * _MS, 1)
+    return described
+
+
 def _least_parts(route: Route) -> int:
     shards = len(route.shards)
     return max(1, math.ceil(route.minimum_share * shards - _ROUNDING))
