Cancel what an answer does not use at once, and open a connection in its place

Excluded: the bound on extra load (no refusal of a hedge in those lines) and the hedge delay (25 ms at the median). Change: losers and the parts left out at the settling time are cancelled at once; a connection is opened in the place of the last one to a server, so that the next exchange does not wait for it.

--- a/src/daisydyke/_backends/_connection.py
+++ b/src/daisydyke/_backends/_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -40,6 +41,7 @@
 
 
 Ended = Callable[['BackendConnection', Exchange, ExchangeOutcome], None]
+OpenedIdle = Callable[['BackendConnection'], None]
 
 
 class BackendConnection:
@@ -56,24 +58,29 @@
         replies: ReplyStream,
         clock: Clock,
         ended: Ended,
+        opened_idle: OpenedIdle,
     ) -> None:
         """Connect once an exchange is given."""
         self.server = server
         self.exchange: Exchange | None = None
-        self.idle_until: float = 0
+        self.idle_until: float = math.inf
         self.idle_since: float = 0
-        self.abandoned_until: float = 0
         self.opened = False
         self._replies = replies
         self._clock = clock
         self._ended = ended
+        self._opened_idle = opened_idle
         self._socket: curio.io.Socket | None = None
         self._task: curio.Task | None = None
         self._closed = False
 
-    async def open(self, exchange: Exchange) -> None:
-        """Connect in the background and send the exchange."""
-        self._assign(exchange)
+    async def open(self, exchange: Exchange | None = None) -> None:
+        """Connect in the background and send the exchange, if there is one.
+
+        Without one the connection is idle once it is open.
+        """
+        if exchange is not None:
+            self._assign(exchange)
         self._task = await curio.spawn(self._run(), daemon=True)
 
     async def submit(self, exchange: Exchange) -> None:
@@ -125,10 +132,13 @@
         address = self.server.record.address
         async with curio.ignore_after(_CONNECT_TIMEOUT_S):
             self._socket = await connect(address.host, address.port)
-        if self.exchange is None or self._socket is None:
+        if self._socket is None:
             return FailureReason.CONNECT
         self.opened = True
-        await self._send(self.exchange)
+        if self.exchange is None:
+            self._opened_idle(self)
+        else:
+            await self._send(self.exchange)
         while True:
             received = await self._socket.recv(_READ_BYTES)
             if not received:
@@ -164,7 +174,6 @@
         self.exchange = None
         self.idle_since = now
         self.idle_until = now + keep_alive
-        self.abandoned_until = 0
 
     async def _end(self, reason: FailureReason) -> None:
         self._closed = True
--- a/src/daisydyke/_backends/_pool.py
+++ b/src/daisydyke/_backends/_pool.py
@@ -13,9 +13,9 @@
 from ._server import BackendServer
 
 _SWEEP_INTERVAL_S = 0.1
-_LOSER_LINGER_S = 0.3
 _IDLE_MARGIN_S = 0.7
 _FRESH_IDLE_S = 1.0
+_UNUSED_IDLE_S = 3.0
 
 
 class ConnectionPool:
@@ -47,7 +47,7 @@
     async def submit(self, exchange: Exchange) -> bool:
         """Send an exchange; False if the server has no connection free."""
         server = exchange.server
-        connection = self._take_idle(exchange)
+        connection = await self._take_idle(exchange)
         if connection is None and len(server.connections) >= self._limit(
             server,
         ):
@@ -56,36 +56,23 @@
         if connection is not None:
             await connection.submit(exchange)
             return True
-        connection = BackendConnection(
-            server,
-            self._make_stream(),
-            self._clock,
-            self._ended,
-        )
-        server.connections.add(connection)
-        self.opened += 1
-        await connection.open(exchange)
+        await self._make_connection(server).open(exchange)
         return True
 
-    async def abandon(self, exchange: Exchange, *, at_once: bool) -> None:
-        """Give up an exchange whose outcome is no longer wanted.
+    async def abandon(self, exchange: Exchange) -> None:
+        """Cancel an exchange whose outcome is no longer wanted.
 
-        Parameters:
-            at_once: close its connection now rather than wait briefly for
-                the reply, after which the connection could be used again.
+        A server drops a request whose connection is closed.
         """
+        server = exchange.server
         exchange.outcomes = None
-        now = self._clock.monotonic()
-        if exchange.number in exchange.server.outstanding:
-            evidence = exchange.server.evidence
-            evidence.record_lateness(now - exchange.started, now)
+        if exchange.number in server.outstanding:
+            now = self._clock.monotonic()
+            server.evidence.record_lateness(now - exchange.started, now)
         connection = exchange.connection
-        if connection is None or connection.exchange is not exchange:
-            return
-        if at_once:
+        if connection is not None and connection.exchange is exchange:
             await connection.close()
-        else:
-            connection.abandoned_until = now + _LOSER_LINGER_S
+            await self._replace(server)
 
     async def close_server(self, server: BackendServer) -> None:
         """Close the idle connections of a server that is not used any more."""
@@ -95,7 +82,7 @@
         server.idle.clear()
 
     async def run(self, servers: Callable[[], list[BackendServer]]) -> None:
-        """Close connections that are idle or abandoned for too long."""
+        """Close connections that have been idle for too long."""
         while True:
             await curio.sleep(_SWEEP_INTERVAL_S)
             now = self._clock.monotonic()
@@ -113,7 +100,34 @@
             connection.server.idle.remove(connection)
         await connection.close()
 
-    def _take_idle(self, exchange: Exchange) -> BackendConnection | None:
+    def _make_connection(self, server: BackendServer) -> BackendConnection:
+        connection = BackendConnection(
+            server,
+            self._make_stream(),
+            self._clock,
+            self._ended,
+            self._opened_idle,
+        )
+        server.connections.add(connection)
+        self.opened += 1
+        return connection
+
+    async def _replace(self, server: BackendServer) -> None:
+        """Open a connection in place of the last one that was closed."""
+        if server.gone or server.connections:
+            return
+        await self._make_connection(server).open()
+
+    def _opened_idle(self, connection: BackendConnection) -> None:
+        now = self._clock.monotonic()
+        connection.idle_since = now
+        connection.idle_until = now + _UNUSED_IDLE_S
+        connection.server.idle.append(connection)
+
+    async def _take_idle(
+        self,
+        exchange: Exchange,
+    ) -> BackendConnection | None:
         now = self._clock.monotonic()
         idle = exchange.server.idle
         while idle:
@@ -124,8 +138,8 @@
             if stale and not exchange.idempotent:
                 # A request that must not be repeated goes on a connection
                 # that the server is not about to close.
-                idle.append(connection)
-                return None
+                await connection.close()
+                continue
             return connection
         return None
 
@@ -163,9 +177,4 @@
 
 
 def _is_overdue(connection: BackendConnection, now: float) -> bool:
-    exchange = connection.exchange
-    if exchange is None:
-        return connection.idle_until <= now
-    if connection.abandoned_until:
-        return connection.abandoned_until <= now
-    return False
+    return connection.exchange is None and connection.idle_until <= now
--- a/src/daisydyke/_requests/_dispatch.py
+++ b/src/daisydyke/_requests/_dispatch.py
@@ -42,7 +42,7 @@
     async def submit(self, exchange: Exchange) -> bool:
         """Send an exchange; False if nothing was sent."""
 
-    async def abandon(self, exchange: Exchange, *, at_once: bool) -> None:
+    async def abandon(self, exchange: Exchange) -> None:
         """Give up an exchange whose outcome is no longer wanted."""
 
 
@@ -134,16 +134,14 @@
 
     async def run(self) -> None:
         """Run until every part has ended or the schedule says enough."""
-        finished = False
         try:
             for part in self.parts:
                 self._ports.extra_load(part.service).record_request()
                 await self._attempt(part)
             while self._open and not self._is_over():
                 await self._step()
-            finished = True
         finally:
-            await self._abandon_open(at_once=not finished)
+            await self._abandon_open()
 
     def _is_over(self) -> bool:
         now = self._ports.clock.monotonic()
@@ -199,7 +197,7 @@
         self._answered += 1
         self._close(part)
         for loser in part.open:
-            await self._ports.pool.abandon(loser, at_once=False)
+            await self._ports.pool.abandon(loser)
         part.open.clear()
 
     async def _retry(self, part: Part, *, ran: bool) -> None:
@@ -317,11 +315,11 @@
             part.closed = True
             self._open -= 1
 
-    async def _abandon_open(self, *, at_once: bool) -> None:
+    async def _abandon_open(self) -> None:
         for part in self.parts:
             part.ran += len(part.open)
             for exchange in part.open:
-                await self._ports.pool.abandon(exchange, at_once=at_once)
+                await self._ports.pool.abandon(exchange)
             part.open.clear()
 
 
