--- a/src/daisydyke/_requests/_service.py
+++ b/src/daisydyke/_requests/_service.py
@@ -26,7 +26,7 @@
 from ._routes import RoutingTable, choose_service
 
 _DEADLINE_MARGIN_S = 0.008
-_SETTLE_MARGIN_S = 0.009
+_SETTLE_MARGIN_S = 0.013
 _RETRY_AFTER_S = 0.25
 _RETRY_AFTER_UNCONFIGURED_S = 0.5
 _MINIMUM_TIME_S = 0.003
