Notice a store connection that falls silent before changes are due

Excluded: retries and relisting (they began only when the watch timed out). Not on backend connections: a request that must not be repeated outlasts a partition there.

--- a/src/daisydyke/_adapters/_http_client.py
+++ b/src/daisydyke/_adapters/_http_client.py
@@ -64,14 +64,22 @@
 
     Parameters:
         address: peer; connected to on first use.
+        detect_silence: whether a peer whose host falls silent is noticed
+            within seconds while a response is waited for.
 
     A connection on which a request has not ended well is not reused:
     ``reusable`` tells.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(
+        self,
+        address: Address,
+        *,
+        detect_silence: bool = False,
+    ) -> None:
         """Connect later."""
         self._address = address
+        self._detect_silence = detect_silence
         self._socket: StreamSocket | None = None
         self._http = h11.Connection(h11.CLIENT)
         self._sent = False
@@ -117,7 +125,11 @@
         """
         await self.close()
         self._http = h11.Connection(h11.CLIENT)
-        self._socket = await connect(self._address.host, self._address.port)
+        self._socket = await connect(
+            self._address.host,
+            self._address.port,
+            detect_silence=self._detect_silence,
+        )
 
     async def _exchange(self, request: HttpRequest) -> HttpResponse:
         if not self.reusable:
--- a/src/daisydyke/_adapters/_sockets.py
+++ b/src/daisydyke/_adapters/_sockets.py
@@ -6,10 +6,24 @@
 
 from ..exceptions import ConnectionLostError
 
-
-async def connect(host: str, port: int) -> curio.io.Socket:
+_PROBE_AFTER_S = 1
+_PROBE_INTERVAL_S = 1
+_LOST_PROBES = 2
+_UNACKNOWLEDGED_MS = 2500
+
+
+async def connect(
+    host: str,
+    port: int,
+    *,
+    detect_silence: bool = False,
+) -> curio.io.Socket:
     """Open a TCP connection that sends small messages at once.
 
+    Parameters:
+        detect_silence: let the kernel end the connection within a few
+            seconds once the peer's host no longer acknowledges anything.
+
     Raises:
         ConnectionLostError: the peer cannot be reached.
     """
@@ -18,6 +32,8 @@
     except OSError as error:
         raise ConnectionLostError(str(error)) from error
     disable_delay(stream)
+    if detect_silence:
+        _probe_peer(stream)
     return stream
 
 
@@ -28,3 +44,16 @@
         curio.socket.TCP_NODELAY,
         1,
     )
+
+
+def _probe_peer(stream: curio.io.Socket) -> None:
+    sockets = curio.socket
+    stream.setsockopt(sockets.SOL_SOCKET, sockets.SO_KEEPALIVE, 1)
+    for option, setting in (
+        (sockets.TCP_KEEPIDLE, _PROBE_AFTER_S),
+        (sockets.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
+        (sockets.TCP_KEEPCNT, _LOST_PROBES),
+        # Probes are not sent while data waits to be acknowledged.
+        (sockets.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS),
+    ):
+        stream.setsockopt(sockets.IPPROTO_TCP, option, setting)
