--- a/src/daisydyke/_backends/_pool.py
+++ b/src/daisydyke/_backends/_pool.py
@@ -24,6 +24,10 @@
     Parameters:
         make_stream: returns what splits a new connection's bytes.
         limit: connections that this VM may have to one server.
+
+    Attributes:
+        opened: connections opened so far.
+        loop_lag: seconds by which the latest timer fired late.
     """
 
     def __init__(
@@ -37,6 +41,7 @@
         self._limit = limit
         self._clock = clock
         self.opened = 0
+        self.loop_lag: float = 0
 
     def has_room(self, server: BackendServer) -> bool:
         """Tell whether an exchange could be sent at once."""
@@ -84,8 +89,10 @@
     async def run(self, servers: Callable[[], list[BackendServer]]) -> None:
         """Close connections that have been idle for too long."""
         while True:
+            due = self._clock.monotonic() + _SWEEP_INTERVAL_S
             await curio.sleep(_SWEEP_INTERVAL_S)
             now = self._clock.monotonic()
+            self.loop_lag = max(0, now - due)
             overdue = [
                 connection
                 for server in servers()
--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -14,11 +14,13 @@
 from returns.result import Success
 
 from .._adapters._signals import SignalStream
+from .._domain._model import Address
 from .._ports import VmRecord
 from ..platform._settings import NodeSettings, load_node_settings
 from ._gateway_wiring import Gateway
 
 _SETTINGS_VARIABLE = 'DAISYDYKE_NODE_FILE'
+METRICS_PORT = 9464
 _EXIT_INVALID_SETTINGS = 2
 _RESTART_PAUSE_S = 0.5
 _JOIN_POLL_S = 0.05
@@ -81,6 +83,9 @@
     await gateway.readiness.start(settings.readiness)
     await gateway.directory.start(settings.directory)
     await gateway.callers.start(settings.callers)
+    await gateway.scrapes.start(
+        Address(settings.gossip.host, METRICS_PORT),
+    )
     runs: tuple[Run, ...] = (
         *(mirror.run for mirror in gateway.mirrors),
         gateway.servers.run_removals,
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -11,11 +11,9 @@
 from .._adapters._clock import RuntimeClock
 from .._adapters._datagrams import Digest, Member, Status, UdpGossip
 from .._adapters._http_server import HttpLimits, HttpServer
-from .._adapters._observability import (
-    JsonDecisionLog,
-    NullMetrics,
-    make_logger,
-)
+from .._adapters._limited_log import LimitedDecisionLog
+from .._adapters._metrics import MetricsRegistry
+from .._adapters._observability import JsonDecisionLog, make_logger
 from .._backends._cold_admission import ColdAdmission
 from .._backends._extra_load import ExtraLoad
 from .._backends._pool import ConnectionPool
@@ -32,6 +30,7 @@
 from ..platform._callers import (
     CallerHandler,
     DirectoryHandler,
+    MetricsHandler,
     ReadinessHandler,
 )
 from ..platform._documents import (
@@ -86,9 +85,13 @@
             OSError: the gossip port is in use.
         """
         self.settings = settings
-        stream = BoundedStream(sys.stdout.fileno())
-        self.log = JsonDecisionLog(make_logger(settings.vm, stream))
         self.clock = RuntimeClock()
+        self._stream = BoundedStream(sys.stdout.fileno())
+        self.log = LimitedDecisionLog(
+            JsonDecisionLog(make_logger(settings.vm, self._stream)),
+            self.clock,
+        )
+        self.metrics = MetricsRegistry(self._gauges)
         self.store = ObjectStore(settings.store)
         self.health = StoreHealth(self.clock, self.log)
         self.registry = ServerRegistry(self.clock, self.log)
@@ -137,6 +140,7 @@
         book = AddressBook(self.membership, settings.longest_keep)
         self.directory = HttpServer(DirectoryHandler(book.addresses).handle)
         self.readiness = HttpServer(ReadinessHandler(self.is_ready).handle)
+        self.scrapes = HttpServer(MetricsHandler(self.metrics.render).handle)
 
     def is_ready(self) -> bool:
         """Tell whether requests can be answered and are wanted."""
@@ -187,9 +191,26 @@
             lambda: self.tables.table,
             self.clock,
             self.log,
-            NullMetrics(),
+            self.metrics,
         )
 
+    def _gauges(self) -> dict[str, float]:
+        lost_at = self.health.lost_at
+        now = self.clock.monotonic()
+        return {
+            'configuration_version': MirrorDigest(self.tables).version,
+            'members_alive': len(self.membership.alive()),
+            'servers_known': len(self.registry.identifiers()),
+            'domains_out': len(self.domains.out),
+            'store_calls': self.store.calls,
+            'store_lost_seconds': now - lost_at if lost_at else 0,
+            'server_connections_opened': self.pool.opened,
+            'requests_in_flight': self.callers.busy,
+            'loop_lag_seconds': self.pool.loop_lag,
+            'log_lines_left_out': self.log.left_out,
+            'log_lines_dropped': self._stream.dropped,
+        }
+
     def _candidates(self, service: str) -> list[BackendServer]:
         return usable(self.registry.of_service(service), self.domains.out)
 
--- a/src/daisydyke/_requests/_service.py
+++ b/src/daisydyke/_requests/_service.py
@@ -112,7 +112,7 @@
     ) -> None:
         elapsed = self._ports.clock.monotonic() - request.received
         outcome = type(answer).__name__.lower()
-        self._ports.metrics.incr(f'requests.{outcome}')
+        self._count(route, dispatch, outcome, elapsed)
         self._ports.log.record(
             'answer',
             request_id=request.request_id,
@@ -129,6 +129,23 @@
             ],
         )
 
+    def _count(
+        self,
+        route: Route,
+        dispatch: Dispatch,
+        outcome: str,
+        elapsed: float,
+    ) -> None:
+        metrics = self._ports.metrics
+        metrics.incr(f'requests.{outcome}')
+        metrics.timing(f'answer_ms.{route.name}', elapsed * _MS)
+        metrics.incr('sends.first', len(dispatch.parts))
+        metrics.incr('sends.hedge', dispatch.hedges)
+        metrics.incr('sends.retry', dispatch.retries)
+        for part in dispatch.parts:
+            if part.reply is None:
+                metrics.incr(f'parts_missing.{part.reason}')
+
 
 def _ended_at(part: Part) -> float:
     return part.answered_at
--- a/src/daisydyke/platform/_callers.py
+++ b/src/daisydyke/platform/_callers.py
@@ -102,6 +102,24 @@
         return _own(HTTPStatus.SERVICE_UNAVAILABLE, 'not_ready')
 
 
+class MetricsHandler:
+    """Serves the daemon's series as text."""
+
+    def __init__(self, render: Callable[[], bytes]) -> None:
+        """Keep what renders them."""
+        self._render = render
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one scrape."""
+        if urlsplit(request.target).path != '/metrics':
+            return _own(HTTPStatus.NOT_FOUND, 'unknown_path')
+        return HttpResponse(
+            HTTPStatus.OK,
+            self._render(),
+            content_type='text/plain; version=0.0.4',
+        )
+
+
 def _decode(request: HttpRequest, now: float) -> CallerRequest | None:
     request_id = request.headers.get(_headers.REQUEST_ID.decode(), '')
     if not request_id:
