--- a/src/daisydyke/_adapters/_datagrams.py
+++ b/src/daisydyke/_adapters/_datagrams.py
@@ -29,6 +29,7 @@
     Parameters:
         incarnation: raised by the member itself, to refute a suspicion.
         start: identifies the process among those of its VM; rises.
+        speed: how fast one thread runs there, as a part of a core.
     """
 
     vm: str
@@ -39,6 +40,7 @@
     start: int
     incarnation: int
     status: Status
+    speed: float = 1
 
 
 class Digest(msgspec.Struct, array_like=True, frozen=True):
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -123,6 +123,7 @@
             )
         ]
         self.membership = self._make_membership()
+        self._book = AddressBook(self.membership, settings.longest_keep)
         self._cold = ColdAdmission(
             settings.vm,
             settings.cold,
@@ -137,7 +138,7 @@
             cancel_on_disconnect=True,
             limits=self._limits,
         )
-        book = AddressBook(self.membership, settings.longest_keep)
+        book = self._book
         self.directory = HttpServer(DirectoryHandler(book.addresses).handle)
         self.readiness = HttpServer(ReadinessHandler(self.is_ready).handle)
         self.scrapes = HttpServer(MetricsHandler(self.metrics.render).handle)
@@ -164,6 +165,7 @@
             start,
             start,
             Status.JOINING,
+            settings.speed,
         )
         return Membership(
             me,
@@ -221,15 +223,15 @@
     def _alive_names(self) -> list[str]:
         return [member.vm for member in self.membership.alive()]
 
-    def _member_count(self) -> int:
-        return max(1, len(self.membership.members))
+    def _sender_count(self) -> int:
+        return self._book.sender_count()
 
     def _connection_limit(self, server: BackendServer) -> int:
         policy = self._policy(server.record.service)
         if policy is None:
             return 1
         used = policy.maximum_connections * _CONNECTIONS_USED_PART
-        return max(1, int(used / self._member_count()))
+        return max(1, int(used / self._sender_count()))
 
     def _extra_load(self, service: str) -> ExtraLoad:
         known = self._extra_loads.get(service)
@@ -237,7 +239,7 @@
             known = ExtraLoad(
                 self.settings.extra_load,
                 self.clock,
-                lambda: 1 / self._member_count(),
+                lambda: 1 / self._sender_count(),
             )
             self._extra_loads[service] = known
         return known
--- a/src/daisydyke/_services/_address_book.py
+++ b/src/daisydyke/_services/_address_book.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
+from .._adapters._datagrams import Member
 from .._domain._model import Address
 from ._membership import Membership
 
 # Seconds; callers of a VM that is gone ask again after this time.
 _KEEP_S = 1.0
 _ENOUGH_NEAR = 2
+_ENOUGH_FAST = 4
+# Part of the fastest VM's speed from which a VM counts as fast.
+_FAST_PART = 0.8
 
 
 class AddressBook:
-    """Addresses of the VMs that take requests, near ones first.
+    """Addresses of the VMs that take requests, fast and near ones first.
+
+    A request to all shards costs so much of a slow VM's time that it is late
+    there; and the fewer VMs send to a server, the more each knows of it.
 
     Parameters:
         longest_keep: seconds for which callers keep an answer at most.
@@ -24,7 +33,7 @@
 
     def addresses(self, domain: str) -> tuple[list[str], float]:
         """Return addresses for a caller and the seconds to keep them."""
-        members = self._membership.addressable()
+        members = _fast(self._membership.addressable())
         near = [one for one in members if one.domain == domain]
         if len(near) >= _ENOUGH_NEAR:
             members = near
@@ -32,3 +41,19 @@
             str(Address(member.host, member.caller_port)) for member in members
         ]
         return addresses, self._keep
+
+    def sender_count(self) -> int:
+        """Return how many VMs share what servers accept.
+
+        VMs that are gone count as well: they may be back before anybody
+        notices.
+        """
+        members = tuple(self._membership.members.values())
+        return max(1, len(_fast(members)))
+
+
+def _fast(members: Sequence[Member]) -> Sequence[Member]:
+    highest = max((member.speed for member in members), default=0)
+    bound = highest * _FAST_PART
+    fast = tuple(member for member in members if member.speed >= bound)
+    return fast if len(fast) >= _ENOUGH_FAST else members
--- a/src/daisydyke/platform/_settings.py
+++ b/src/daisydyke/platform/_settings.py
@@ -31,6 +31,11 @@
     ttl_max_s: float = 5
 
 
+class _Machine(msgspec.Struct):
+    # Part of one core that a thread gets.
+    cpu_share: float = 1
+
+
 class _Store(msgspec.Struct):
     address: str
 
@@ -43,6 +48,7 @@
     internal_ports: tuple[int, int]
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Machine = msgspec.field(default_factory=_Machine)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +63,7 @@
         peers: where other VMs connect.
         grace: seconds from SIGTERM to SIGKILL.
         longest_keep: seconds for which callers keep an address at most.
+        speed: how fast one thread runs, as a part of a core.
     """
 
     vm: str
@@ -71,6 +78,7 @@
     cold: ColdBounds
     grace: float
     longest_keep: float
+    speed: float
 
 
 def load_node_settings(
@@ -119,4 +127,5 @@
         ColdBounds(bounds.warmup_excess, bounds.warmup_slack),
         bounds.grace_s,
         bounds.ttl_max_s,
+        found.limits.cpu_share,
     )
