--- a/src/daisydyke/_requests/_service.py
+++ b/src/daisydyke/_requests/_service.py
@@ -63,13 +63,15 @@
         """Answer one request by the configuration in force at its start."""
         table = self._ports.table()
         if table is None:
-            return Refused('no_configuration', _RETRY_AFTER_UNCONFIGURED_S)
+            refusal = Refused('no_configuration', _RETRY_AFTER_UNCONFIGURED_S)
+            return self._end_early(request, refusal, None)
         route = table.find(request.host, request.path)
         if route is None:
-            return NotRouted()
+            return self._end_early(request, NotRouted(), table)
         schedule = self._schedule(request, route)
         if schedule.deadline - request.received < _MINIMUM_TIME_S:
-            return Refused('deadline_too_near', _RETRY_AFTER_S)
+            refusal = Refused('deadline_too_near', _RETRY_AFTER_S)
+            return self._end_early(request, refusal, table)
         services = route.shards or (choose_service(route, self._random),)
         dispatch = Dispatch(
             self._ports.dispatch,
@@ -84,6 +86,27 @@
         self._log_answer(request, route, table, schedule, dispatch, answer)
         return answer
 
+    def _end_early(
+        self,
+        request: CallerRequest,
+        answer: CallerAnswer,
+        table: RoutingTable | None,
+    ) -> CallerAnswer:
+        outcome = type(answer).__name__.lower()
+        self._ports.metrics.incr(f'requests.{outcome}')
+        self._ports.log.record(
+            'answer',
+            request_id=request.request_id,
+            route='',
+            host=request.host,
+            path=request.path,
+            configuration=table.version if table else 0,
+            outcome=outcome,
+            elapsed_ms=0,
+            **_reasons(answer),
+        )
+        return answer
+
     def _estimate(self, route: Route) -> LatencyEstimate:
         return self._latency.setdefault(route.name, LatencyEstimate())
 
@@ -122,6 +145,7 @@
             elapsed_ms=round(elapsed * _MS, 1),
             hedges=dispatch.hedges,
             retries=dispatch.retries,
+            **_reasons(answer),
             hedge_after_ms=round(schedule.hedge_delay * _MS, 1),
             slowest=[
                 _describe(part, request.received)
@@ -147,6 +171,16 @@
                 metrics.incr(f'parts_missing.{part.reason}')
 
 
+def _reasons(answer: CallerAnswer) -> dict[str, object]:
+    if isinstance(answer, Merged):
+        return {'missing': answer.missing}
+    if isinstance(answer, Refused):
+        return {'reason': answer.reason, 'retry_after_s': answer.retry_after}
+    if isinstance(answer, Unanswered):
+        return {'reason': answer.reason}
+    return {}
+
+
 def _ended_at(part: Part) -> float:
     return part.answered_at
 
