--- a/src/daisydyke/_cli/_explain.py
+++ b/src/daisydyke/_cli/_explain.py
@@ -45,7 +45,7 @@
         if isinstance(line, AnswerLine):
             yield from describe_answer(line)
     yield from _describe_attempts(
-        [line for line in lines if isinstance(line, DecisionLine)],
+        [one for one in lines if isinstance(one, DecisionLine)],
     )
 
 
