Slow VMs stand by while enough fast ones take the requests

Change: a VM registers, takes part in the membership, and follows the store and reports ready only once it is among those that callers are sent to; on equal VMs that is at once.

--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -16,6 +16,7 @@
 from .._adapters._signals import SignalStream
 from .._domain._model import Address
 from .._ports import VmRecord
+from .._services._address_book import has_enough_faster
 from ..platform._settings import NodeSettings, load_node_settings
 from ._gateway_wiring import Gateway
 
@@ -24,6 +25,10 @@
 _EXIT_INVALID_SETTINGS = 2
 _RESTART_PAUSE_S = 0.5
 _JOIN_POLL_S = 0.05
+_STAND_BY_POLL_S = 0.25
+# Time in which VMs that start together come to know each other.
+_FIRST_START_S = 2.0
+_MEET_S = 1.0
 _EXIT_MARGIN_S = 0.4
 # Part of the grace time in which callers still reach the VM that leaves.
 _LINGER_PART = 0.55
@@ -87,7 +92,6 @@
         Address(settings.gossip.host, METRICS_PORT),
     )
     runs: tuple[Run, ...] = (
-        *(mirror.run for mirror in gateway.mirrors),
         gateway.servers.run_removals,
         partial(gateway.pool.run, gateway.registry.all),
         gateway.membership.run_receiver,
@@ -95,7 +99,11 @@
         partial(_join, gateway),
     )
     for run in runs:
-        await curio.spawn(_supervise(gateway, run), daemon=True)
+        await _spawn(gateway, run)
+
+
+async def _spawn(gateway: Gateway, run: Run) -> None:
+    await curio.spawn(_supervise(gateway, run), daemon=True)
 
 
 async def _supervise(gateway: Gateway, run: Run) -> None:
@@ -112,11 +120,29 @@
 
 
 async def _join(gateway: Gateway) -> None:
-    """Take requests once configuration and servers are known."""
+    """Register, and take requests once that is wanted and possible."""
+    await _register(gateway)
+    await _spawn(
+        gateway,
+        partial(gateway.membership.run_seeds, gateway.store, ()),
+    )
+    await _stand_by(gateway)
+    for mirror in gateway.mirrors:
+        await _spawn(gateway, mirror.run)
+    while not gateway.is_informed():
+        await curio.sleep(_JOIN_POLL_S)
+    gateway.membership.join()
+    gateway.log.record('ready')
+    await curio.Event().wait()
+
+
+async def _register(gateway: Gateway) -> None:
+    settings = gateway.settings
     record = VmRecord(
-        gateway.settings.vm,
-        gateway.settings.gossip.host,
+        settings.vm,
+        settings.gossip.host,
         leaving=False,
+        speed=settings.speed,
     )
     registered = await gateway.store.register_vm(record)
     while not isinstance(registered, Success):
@@ -124,11 +150,23 @@
         await gateway.health.failed(registered.failure())
         registered = await gateway.store.register_vm(record)
     gateway.health.succeeded()
-    while not gateway.is_informed():
-        await curio.sleep(_JOIN_POLL_S)
-    gateway.membership.join()
-    gateway.log.record('ready')
-    await gateway.membership.run_seeds(gateway.store, ())
+
+
+async def _stand_by(gateway: Gateway) -> None:
+    """Wait while enough faster VMs take the requests."""
+    settings = gateway.settings
+    listed = await gateway.store.list_vms()
+    speeds = [record.speed for record in listed.value_or(())]
+    if settings.first_start:
+        await curio.sleep(_FIRST_START_S)
+    elif has_enough_faster(settings.speed, speeds):
+        # Time for the faster ones to answer the first datagrams.
+        await curio.sleep(_MEET_S)
+    if gateway.book.is_wanted():
+        return
+    gateway.log.record('standing_by', speed=settings.speed)
+    while not gateway.book.is_wanted():
+        await curio.sleep(_STAND_BY_POLL_S)
 
 
 async def _leave(gateway: Gateway) -> None:
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -123,7 +123,7 @@
             )
         ]
         self.membership = self._make_membership()
-        self._book = AddressBook(self.membership, settings.longest_keep)
+        self.book = AddressBook(self.membership, settings.longest_keep)
         self._cold = ColdAdmission(
             settings.vm,
             settings.cold,
@@ -138,8 +138,9 @@
             cancel_on_disconnect=True,
             limits=self._limits,
         )
-        book = self._book
-        self.directory = HttpServer(DirectoryHandler(book.addresses).handle)
+        self.directory = HttpServer(
+            DirectoryHandler(self.book.addresses).handle
+        )
         self.readiness = HttpServer(ReadinessHandler(self.is_ready).handle)
         self.scrapes = HttpServer(MetricsHandler(self.metrics.render).handle)
 
@@ -224,7 +225,7 @@
         return [member.vm for member in self.membership.alive()]
 
     def _sender_count(self) -> int:
-        return self._book.sender_count()
+        return self.book.sender_count()
 
     def _connection_limit(self, server: BackendServer) -> int:
         policy = self._policy(server.record.service)
--- a/src/daisydyke/_ports.py
+++ b/src/daisydyke/_ports.py
@@ -80,11 +80,16 @@
 
 @dataclass(frozen=True, slots=True)
 class VmRecord:
-    """A VM on the platform's list, which lags."""
+    """A VM on the platform's list, which lags.
+
+    Parameters:
+        speed: how fast one thread runs there, as a part of a core.
+    """
 
     name: str
     address: str
     leaving: bool
+    speed: float = 1
 
 
 class Platform(Protocol):
--- a/src/daisydyke/_services/_address_book.py
+++ b/src/daisydyke/_services/_address_book.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from .._adapters._datagrams import Member
+from .._adapters._datagrams import Member, Status
 from .._domain._model import Address
 from ._membership import Membership
 
@@ -14,6 +14,7 @@
 _ENOUGH_FAST = 4
 # Part of the fastest VM's speed from which a VM counts as fast.
 _FAST_PART = 0.8
+_PRESENT = frozenset((Status.ALIVE, Status.JOINING, Status.SUSPECT))
 
 
 class AddressBook:
@@ -42,6 +43,18 @@
         ]
         return addresses, self._keep
 
+    def is_wanted(self) -> bool:
+        """Tell whether this VM is to take requests.
+
+        A slow VM stands by while enough fast ones are there.
+        """
+        present = [
+            member
+            for member in self._membership.members.values()
+            if member.status in _PRESENT
+        ]
+        return self._membership.me in _fast(present)
+
     def sender_count(self) -> int:
         """Return how many VMs share what servers accept.
 
@@ -57,3 +70,9 @@
     bound = highest * _FAST_PART
     fast = tuple(member for member in members if member.speed >= bound)
     return fast if len(fast) >= _ENOUGH_FAST else members
+
+
+def has_enough_faster(speed: float, speeds: Sequence[float]) -> bool:
+    """Tell whether enough VMs are faster than one of this speed."""
+    faster = [one for one in speeds if one * _FAST_PART > speed]
+    return len(faster) >= _ENOUGH_FAST
--- a/src/daisydyke/platform/_settings.py
+++ b/src/daisydyke/platform/_settings.py
@@ -47,6 +47,8 @@
     listen_addrs: _Listen
     internal_ports: tuple[int, int]
     platform: _Store
+    # True only when the whole system starts for the first time.
+    bootstrap: bool = False
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Machine = msgspec.field(default_factory=_Machine)
 
@@ -64,6 +66,7 @@
         grace: seconds from SIGTERM to SIGKILL.
         longest_keep: seconds for which callers keep an address at most.
         speed: how fast one thread runs, as a part of a core.
+        first_start: whether all VMs start together, none having run before.
     """
 
     vm: str
@@ -79,6 +82,7 @@
     grace: float
     longest_keep: float
     speed: float
+    first_start: bool
 
 
 def load_node_settings(
@@ -128,4 +132,5 @@
         bounds.grace_s,
         bounds.ttl_max_s,
         found.limits.cpu_share,
+        found.bootstrap,
     )
--- a/src/daisydyke/platform/_store.py
+++ b/src/daisydyke/platform/_store.py
@@ -60,6 +60,7 @@
 class _Vm(msgspec.Struct):
     address: str
     leaving: bool = False
+    speed: float = 1
 
 
 class ObjectStore:
@@ -141,7 +142,8 @@
 
     async def register_vm(self, record: VmRecord) -> Result[int, PlatformError]:
         """Add an entry VM to the list; one that is there stays."""
-        text = msgspec.json.encode(_Vm(record.address, record.leaving))
+        vm = _Vm(record.address, record.leaving, record.speed)
+        text = msgspec.json.encode(vm)
         outcome = await self.write(VM_KIND, record.name, text, 0)
         if isinstance(outcome, Success):
             return outcome
@@ -260,4 +262,9 @@
 
 def _to_vm(stored: StoredObject) -> VmRecord:
     found = msgspec.json.decode(stored.text or b'', type=_Vm)
-    return VmRecord(stored.name, found.address, found.leaving)
+    return VmRecord(
+        stored.name,
+        found.address,
+        found.leaving,
+        found.speed,
+    )
--- a/tests/contract/test_backend.py
+++ b/tests/contract/test_backend.py
@@ -81,7 +81,12 @@
     """Run a sub-request on a connection whose socket is a fake."""
 
     async def scenario(clock: VirtualClock) -> SubResult:
-        async def connect(host: str, port: int) -> FakeSocket:
+        async def connect(
+            host: str,
+            port: int,
+            *,
+            detect_silence: bool,
+        ) -> FakeSocket:
             return stream
 
         original = _http_client.connect
--- a/tests/gateway/test_address_book.py
+++ b/tests/gateway/test_address_book.py
@@ -4,7 +4,7 @@
 from testtools.matchers import Equals, LessThan
 
 from daisydyke._adapters._datagrams import Member, Status
-from daisydyke._services._address_book import AddressBook
+from daisydyke._services._address_book import AddressBook, has_enough_faster
 from tests.gateway.world import member
 
 
@@ -15,6 +15,11 @@
         """Keep the members."""
         self.members = {one.vm: one for one in members}
 
+    @property
+    def me(self) -> Member:
+        """Return the first member."""
+        return next(iter(self.members.values()))
+
     def addressable(self) -> list[Member]:
         """Return the members that are alive."""
         return [
@@ -69,6 +74,27 @@
         named = self.hosts('north', *fast, *slow)
         self.assertThat(len(named), Equals(5))
 
+    def test_slow_stands_by(self) -> None:
+        """A slow VM is not wanted while enough fast ones are there."""
+        slow = member('s', speed=0.3, status=Status.JOINING)
+        fast = [member(f'f{number}', speed=0.7) for number in range(4)]
+        lost = [*fast[:-1], member('f3', speed=0.7, status=Status.DEAD)]
+        verdicts = [
+            AddressBook(Members(slow, *others), 5).is_wanted()
+            for others in (fast, lost, ())
+        ]
+        self.assertThat(verdicts, Equals([False, True, True]))
+
+    def test_equal_never_stand_by(self) -> None:
+        """Where VMs are alike, all are wanted from the start."""
+        joining = [
+            member(f'a{number}', speed=0.7, status=Status.JOINING)
+            for number in range(18)
+        ]
+        self.assertTrue(AddressBook(Members(*joining), 5).is_wanted())
+        self.assertFalse(has_enough_faster(0.7, [0.7] * 18))
+        self.assertTrue(has_enough_faster(0.3, [0.7] * 4))
+
     def test_no_member(self) -> None:
         """Without members there is no address."""
         self.assertThat(self.hosts('north'), Equals(set()))
