--- a/tests/gateway/test_address_book.py
+++ b/tests/gateway/test_address_book.py
@@ -1,5 +1,7 @@
 """Tests of the addresses that callers are told."""
 
+from itertools import repeat
+
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
@@ -92,8 +94,8 @@
             for number in range(18)
         ]
         self.assertTrue(AddressBook(Members(*joining), 5).is_wanted())
-        self.assertFalse(has_enough_faster(0.7, [0.7] * 18))
-        self.assertTrue(has_enough_faster(0.3, [0.7] * 4))
+        self.assertFalse(has_enough_faster(0.7, tuple(repeat(0.7, 18))))
+        self.assertTrue(has_enough_faster(0.3, tuple(repeat(0.7, 4))))
 
     def test_no_member(self) -> None:
         """Without members there is no address."""
