--- a/src/daisydyke/_cli/_explain_answer.py
+++ b/src/daisydyke/_cli/_explain_answer.py
@@ -30,7 +30,7 @@
     missing: int = 0
     hedges: int = 0
     retries: int = 0
-    hedge_after_ms: float = 0
+    hedge_after_ms: float | None = None
     slowest: list[PartLine] = msgspec.field(default_factory=list)
 
 
@@ -39,12 +39,17 @@
     yield f'  {line.timestamp} {line.vm}: {_outcome(line)}'
     yield (
         f'    route {line.route}, configuration {line.configuration}, '
-        f'{line.elapsed_ms} ms, {line.hedges} hedges after '
-        f'{line.hedge_after_ms} ms, {line.retries} retries'
+        f'{line.elapsed_ms} ms, {_hedges(line)}, {line.retries} retries'
     )
     yield from map(_describe_part, line.slowest)
 
 
+def _hedges(line: AnswerLine) -> str:
+    if line.hedge_after_ms is None:
+        return 'never hedged'
+    return f'{line.hedges} hedges after {line.hedge_after_ms} ms'
+
+
 def _outcome(line: AnswerLine) -> str:
     words = [line.outcome]
     if line.reason:
--- a/src/daisydyke/_requests/_service.py
+++ b/src/daisydyke/_requests/_service.py
@@ -146,7 +146,7 @@
             hedges=dispatch.hedges,
             retries=dispatch.retries,
             **_reasons(answer),
-            hedge_after_ms=round(schedule.hedge_delay * _MS, 1),
+            hedge_after_ms=_hedge_after_ms(schedule),
             slowest=[
                 _describe(part, request.received)
                 for part in nlargest(_SLOWEST, dispatch.parts, key=_ended_at)
@@ -171,6 +171,12 @@
                 metrics.incr(f'parts_missing.{part.reason}')
 
 
+def _hedge_after_ms(schedule: Schedule) -> float | None:
+    if math.isinf(schedule.hedge_delay):
+        return None
+    return round(schedule.hedge_delay * _MS, 1)
+
+
 def _reasons(answer: CallerAnswer) -> dict[str, object]:
     if isinstance(answer, Merged):
         return {'missing': answer.missing}
--- a/tests/load/test_at_most_once.py
+++ b/tests/load/test_at_most_once.py
@@ -1,5 +1,7 @@
 """Pattern: servers lose answers of requests that must not be repeated."""
 
+import json
+
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength, IsInstance, LessThan
 
@@ -43,6 +45,20 @@
         self.assertThat(backends.arrivals, HasLength(1))
         self.assertThat(answer, IsInstance(Unanswered))
 
+    def test_lines_are_json(self) -> None:
+        """What is logged of a request without hedges can be read again."""
+
+        async def _logged(clock: VirtualClock) -> list[dict[str, object]]:
+            backends = Backends(clock)
+            backends.add('desk', REPLICAS)
+            gateway = Gateway(clock, backends, [plain_route(idempotent=False)])
+            await gateway.ask(timeout=6, method=b'POST')
+            return gateway.log.lines
+
+        line = run_virtual(_logged)[0]
+        text = json.dumps(line, allow_nan=False)
+        self.assertThat(json.loads(text)['hedge_after_ms'], Equals(None))
+
     def test_slow_answer_is_not_hedged(self) -> None:
         """A slow server is waited for."""
         answer, backends = run_virtual(_post, Behaviour(work=3.0))
