Rooms by subject; the fan-out's choice of replicas in a module of its own

Removed what nothing reads: Exchange.deadline, BackendConnection.opened, RoutingTable.route_services.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -25,7 +25,7 @@
     HttpRequest,
     HttpResponse,
 )
-from daisydyke._services._callers import AddressesBody, AnswerBody
+from daisydyke._queries._callers import AddressesBody, AnswerBody
 from daisydyke._settings._documents import parse_address
 from daisydyke.exceptions import DaisydykeError
 
--- a/specs/commit.py
+++ b/specs/commit.py
@@ -2,7 +2,7 @@
 
 The executor may crash and start anew, the connection to the server may
 break with the request on its way, and time may pass the records kept.
-Names follow ``_services/_commit.py``.
+Names follow ``_commits/_commit.py``.
 """
 
 from __future__ import annotations
--- a/specs/configuration.py
+++ b/specs/configuration.py
@@ -2,7 +2,7 @@
 
 Two operators race to write one document; a node reads it from the platform,
 whose answers may be stale, from a peer, and after a restart from either.
-Names follow ``_services/_configuration.py``.
+Names follow ``_operations/_configuration.py``.
 """
 
 from __future__ import annotations
--- a/specs/lease.py
+++ b/specs/lease.py
@@ -2,7 +2,7 @@
 
 VM A holds the server and may be cut off, paused, crash or restart; VM B
 takes over. One slot is the floor and one the rest. Time goes in ticks; A's
-clock may lose one tick against B's. Names follow ``_services/_session.py``,
+clock may lose one tick against B's. Names follow ``_limits/_session.py``,
 ``_fencing.py`` and ``_ownership.py``.
 """
 
--- a/src/daisydyke/_backends/_connection.py
+++ b/src/daisydyke/_backends/_connection.py
@@ -65,7 +65,6 @@
         self.exchange: Exchange | None = None
         self.idle_until: float = math.inf
         self.idle_since: float = 0
-        self.opened = False
         self._replies = replies
         self._clock = clock
         self._ended = ended
@@ -134,7 +133,6 @@
             self._socket = await connect(address.host, address.port)
         if self._socket is None:
             return FailureReason.CONNECT
-        self.opened = True
         if self.exchange is None:
             self._opened_idle(self)
         else:
--- a/src/daisydyke/_backends/_exchange.py
+++ b/src/daisydyke/_backends/_exchange.py
@@ -52,7 +52,8 @@
         number: unique in this process.
         part: position of the shard in the caller's request.
         payload: the encoded request.
-        deadline: monotonic time after which no answer is wanted.
+        started: monotonic time at which it was given to a connection.
+        bodiless: whether a reply has no body whatever its header says.
         outcomes: None once the outcome is no longer wanted.
     """
 
@@ -62,7 +63,6 @@
     server: BackendServer
     payload: bytes
     started: float
-    deadline: float
     idempotent: bool
     bodiless: bool
     outcomes: Outcomes | None
--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -15,8 +15,8 @@
 
 from .._adapters._signals import SignalStream
 from .._domain._model import Address
+from .._members._address_book import has_enough_faster
 from .._ports import VmRecord
-from .._services._address_book import has_enough_faster
 from ..platform._settings import NodeSettings, load_node_settings
 from ._gateway_wiring import Gateway
 
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -19,14 +19,14 @@
 from .._backends._pool import ConnectionPool
 from .._backends._registry import ServerRegistry, usable
 from .._backends._server import BackendServer
+from .._members._address_book import AddressBook
+from .._members._membership import Membership
 from .._mirror._mirror import KindMirror
 from .._mirror._sinks import DomainSink, ServerSink, TableSink
 from .._mirror._store_health import StoreHealth
 from .._requests._dispatch import DispatchPorts
 from .._requests._model import ServicePolicy
 from .._requests._service import RequestPorts, RequestService
-from .._services._address_book import AddressBook
-from .._services._membership import Membership
 from ..platform._callers import (
     CallerHandler,
     DirectoryHandler,
--- a/src/daisydyke/_cli/_operator.py
+++ b/src/daisydyke/_cli/_operator.py
@@ -19,13 +19,13 @@
 from .._adapters._http_client import HttpConnection, HttpRequest
 from .._adapters._platform import HttpPlatform
 from .._domain._model import Address
-from .._services._callers import StatusBody
-from .._services._operations import (
+from .._operations._operations import (
     Change,
     NodeReport,
     Operations,
     wait_in_force,
 )
+from .._queries._callers import StatusBody
 from .._settings._documents import parse_address, parse_service
 from ..exceptions import (
     DaisydykeError,
--- a/src/daisydyke/_cli/_wiring.py
+++ b/src/daisydyke/_cli/_wiring.py
@@ -19,6 +19,7 @@
 )
 from .._adapters._platform import HttpPlatform
 from .._adapters._sockets import connect
+from .._commits._commit import CommitExecutor, CommitPorts
 from .._domain._choice import (
     LatencyAwareChoice,
     LeastOutstandingChoice,
@@ -27,20 +28,19 @@
 )
 from .._domain._latency import EstimatedHedge, FixedHedge, HedgeTiming
 from .._domain._model import Address, Holder, ServerSpec, ServiceSpec
-from .._services._callers import CallerInterface, CallerPorts, StatusBody
-from .._services._catalogue import Catalogue
-from .._services._commit import CommitExecutor, CommitPorts
-from .._services._configuration import Configuration, ConfigurationWatch
-from .._services._fan_out import QueryPorts
-from .._services._fencing import Fencing
-from .._services._gate import Allowance, ServerGate
-from .._services._membership import Membership
-from .._services._ownership import Ownership, OwnershipPorts
-from .._services._peer_service import PeerService
-from .._services._peers import PeerLinks
-from .._services._query import QueryService, usable_servers
-from .._services._routing import OwnerRoute
-from .._services._session import Session
+from .._limits._fencing import Fencing
+from .._limits._gate import Allowance, ServerGate
+from .._limits._ownership import Ownership, OwnershipPorts
+from .._limits._session import Session
+from .._members._membership import Membership
+from .._operations._configuration import Configuration, ConfigurationWatch
+from .._peers._peer_service import PeerService
+from .._peers._peers import PeerLinks
+from .._queries._callers import CallerInterface, CallerPorts, StatusBody
+from .._queries._catalogue import Catalogue
+from .._queries._fan_out import QueryPorts
+from .._queries._query import QueryService, usable_servers
+from .._queries._routing import OwnerRoute
 from .._settings._daemon import EntrySettings, RoutingSettings
 from .._settings._documents import parse_address
 
--- /dev/null
+++ b/src/daisydyke/_commits/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that run at most once, by keys that name their executor."""
--- a/src/daisydyke/_services/_commit.py
+++ b/src/daisydyke/_commits/_commit.py
@@ -28,7 +28,11 @@
     SubRequest,
 )
 from .._domain._planning import make_plan
+from .._operations._configuration import Configuration
 from .._ports import Clock, DecisionLog, SubRequestRoute
+from .._queries._catalogue import Catalogue
+from .._queries._progress import ResultQueue
+from .._queries._query import LONGEST_DEADLINE_S, usable_servers
 from ..exceptions import (
     BadRequestError,
     CallerError,
@@ -38,7 +42,6 @@
     OverloadedError,
     UnknownResourceError,
 )
-from ._catalogue import Catalogue
 from ._commit_values import (
     CommitRequest,
     IdempotencyKey,
@@ -48,9 +51,6 @@
     parse_key,
     respond,
 )
-from ._configuration import Configuration
-from ._progress import ResultQueue
-from ._query import LONGEST_DEADLINE_S, usable_servers
 
 RECORD_KEPT_S = 600.0
 _RESULT_GRACE_S = 0.25
--- /dev/null
+++ b/src/daisydyke/_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of backend servers: ownership, sessions, fencing, gates."""
--- a/src/daisydyke/_services/_fencing.py
+++ b/src/daisydyke/_limits/_fencing.py
@@ -9,10 +9,10 @@
 from returns.result import Success
 
 from .._domain._model import Holder
+from .._members._membership import Membership
 from .._ports import Clock, DecisionLog, Platform, StoredObject
 from .._settings._daemon import LeaseSettings
 from .._settings._documents import SessionDocument
-from ._membership import Membership
 from ._session import SESSION_KIND
 
 _LIST_INTERVAL_S = 5.0
--- a/src/daisydyke/_services/_ownership.py
+++ b/src/daisydyke/_limits/_ownership.py
@@ -25,14 +25,14 @@
     floor_slots,
 )
 from .._domain._rendezvous import rank
+from .._members._membership import Membership
+from .._operations._configuration import Configuration
 from .._ports import Clock, DecisionLog, Platform, StoredObject
 from .._settings._daemon import LeaseSettings
 from .._settings._documents import HolderModel, LeaseDocument
 from ..exceptions import VersionConflictError
-from ._configuration import Configuration
 from ._fencing import Fencing
 from ._gate import Allowance, ServerGate
-from ._membership import Membership
 from ._session import Session
 
 _RECONCILE_S = 0.25
--- /dev/null
+++ b/src/daisydyke/_members/__init__.py
@@ -0,0 +1,1 @@
+"""Entry VMs: who is alive, and which of them callers use."""
--- a/src/daisydyke/_services/_operations.py
+++ b/src/daisydyke/_operations/_operations.py
@@ -11,13 +11,13 @@
 
 from .._domain._model import Address
 from .._ports import Clock, Platform, StoredObject
+from .._queries._callers import StatusBody
 from .._settings._documents import SwitchDocument, parse_service
 from ..exceptions import (
     DaisydykeError,
     PlatformError,
     VersionConflictError,
 )
-from ._callers import StatusBody
 
 _RETRY_S = 0.5
 _POLL_S = 0.1
--- /dev/null
+++ b/src/daisydyke/_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between entry VMs and what they serve each other."""
--- a/src/daisydyke/_services/_peer_link.py
+++ b/src/daisydyke/_peers/_peer_link.py
@@ -35,15 +35,15 @@
     SubFailure,
     SubRequest,
 )
+from .._operations._configuration import Configuration
 from .._ports import (
     Clock,
     StoredObject,
     SubResult,
     SubResultSink,
 )
+from .._queries._catalogue import Catalogue
 from ..exceptions import DaisydykeError
-from ._catalogue import Catalogue
-from ._configuration import Configuration
 
 _RETRY_S = 0.25
 _FORWARD_TIMEOUT_S = 10.0
--- a/src/daisydyke/_services/_peer_service.py
+++ b/src/daisydyke/_peers/_peer_service.py
@@ -21,6 +21,7 @@
     SyncObjects,
     SyncRequest,
 )
+from .._commits._commit import CommitExecutor
 from .._domain._model import (
     Failure,
     KeyRange,
@@ -28,12 +29,11 @@
     ServerState,
     SubRequest,
 )
+from .._limits._gate import ServerGate
+from .._operations._configuration import Configuration
 from .._ports import Clock, SubResult
+from .._queries._catalogue import Catalogue
 from ..exceptions import DaisydykeError
-from ._catalogue import Catalogue
-from ._commit import CommitExecutor
-from ._configuration import Configuration
-from ._gate import ServerGate
 from ._peer_link import Outbox
 
 _NEWS_INTERVAL_S = 0.1
--- a/src/daisydyke/_services/_peers.py
+++ b/src/daisydyke/_peers/_peers.py
@@ -8,10 +8,10 @@
 
 from .._adapters._datagrams import Digest, Member
 from .._adapters._frames import Hello
+from .._members._membership import Membership
+from .._operations._configuration import Configuration
 from .._ports import Clock
-from ._catalogue import Catalogue
-from ._configuration import Configuration
-from ._membership import Membership
+from .._queries._catalogue import Catalogue
 from ._peer_link import Open, PeerLink
 
 _FOLLOW_MEMBERS_S = 0.25
--- /dev/null
+++ b/src/daisydyke/_queries/__init__.py
@@ -0,0 +1,1 @@
+"""Queries of daisydyke-entry: plan, fan-out, answer, caller interface."""
--- a/src/daisydyke/_services/_callers.py
+++ b/src/daisydyke/_queries/_callers.py
@@ -14,8 +14,13 @@
 
 from .._adapters._datagrams import Member, Status
 from .._adapters._http_client import HttpRequest, HttpResponse
+from .._commits._commit import CommitExecutor
+from .._commits._commit_values import parse_key, respond
 from .._domain._model import Outcome
 from .._domain._rendezvous import rank
+from .._members._membership import Membership
+from .._operations._configuration import Configuration
+from .._peers._peers import PeerLinks
 from .._ports import Clock, DecisionLog, Metrics
 from ..exceptions import (
     BadRequestError,
@@ -24,11 +29,6 @@
     OutcomeUnknownError,
     UnknownResourceError,
 )
-from ._commit import CommitExecutor
-from ._commit_values import parse_key, respond
-from ._configuration import Configuration
-from ._membership import Membership
-from ._peers import PeerLinks
 from ._progress import Answer
 from ._query import Query, QueryService
 
--- a/src/daisydyke/_services/_fan_out.py
+++ b/src/daisydyke/_queries/_fan_out.py
@@ -15,11 +15,11 @@
     Failure,
     Plan,
     RequestContext,
-    ServerPhase,
     SubAnswer,
     SubFailure,
     SubRequest,
 )
+from .._operations._configuration import Configuration
 from .._ports import (
     Clock,
     DecisionLog,
@@ -28,7 +28,6 @@
     SubResult,
 )
 from ._catalogue import Catalogue
-from ._configuration import Configuration
 from ._progress import (
     Answer,
     Attempt,
@@ -38,6 +37,7 @@
     Timetable,
     report,
 )
+from ._replicas import Replicas
 
 _MAXIMUM_ATTEMPTS = 6
 _RETRY_PAUSE_S = 0.01
@@ -92,7 +92,12 @@
         self._retries = Timetable()
         self._open = len(self._progress)
         self._gone = False
-        self._domains = _server_domains(ports.configuration, context.service)
+        self._replicas = Replicas(
+            ports.catalogue,
+            ports.configuration,
+            ports.clock,
+            context.service,
+        )
 
     async def run(self, *, may_restart: bool) -> bool:
         """Run to the end; tells whether the snapshot was there to the end."""
@@ -247,7 +252,7 @@
             self._hedges.add(self._now() + _HEDGE_RETRY_S, progress)
             return
         tried = {one.request.server_id for one in progress.attempts}
-        if self._candidates(progress, tried):
+        if self._replicas.candidates(progress, tried):
             self._state.budget.take_for_hedge()
             await self._attempt(progress, 'hedge')
 
@@ -255,11 +260,11 @@
         if progress.closed:
             return
         tried = {one.request.server_id for one in progress.attempts}
-        candidates = self._candidates(progress, tried)
+        candidates = self._replicas.candidates(progress, tried)
         patient = not candidates
-        candidates = candidates or self._candidates(progress, set())
+        candidates = candidates or self._replicas.candidates(progress, set())
         if not candidates:
-            progress.reason = self._absence(progress)
+            progress.reason = self._replicas.absence(progress)
             self._close(progress)
             return
         now = self._now()
@@ -295,49 +300,6 @@
         self._hedges.add(now + delay, progress)
         await self._ports.route.submit(request, self._results)
 
-    def _candidates(
-        self,
-        progress: Progress,
-        tried: set[str],
-    ) -> list[Candidate]:
-        found: list[Candidate] = []
-        for server_id in progress.segment.candidates:
-            if server_id in tried or server_id in progress.gone:
-                continue
-            candidate = self._candidate(server_id)
-            if candidate is not None:
-                found.append(candidate)
-        present = [one for one in found if one.phase is not ServerPhase.LOST]
-        return present or found
-
-    def _candidate(self, server_id: str) -> Candidate | None:
-        catalogue = self._ports.catalogue
-        state = catalogue.state(server_id)
-        domain = self._domains.get(server_id)
-        if state is None or domain is None:
-            return None
-        if domain in self._ports.configuration.out_domains:
-            return None
-        evidence = catalogue.evidence(server_id)
-        if state.phase is ServerPhase.DRAINING:
-            return None
-        ejected = evidence.ejected_until > self._now()
-        if state.phase is ServerPhase.LOST and ejected:
-            return None
-        return Candidate(server_id, state.phase, evidence)
-
-    def _absence(self, progress: Progress) -> Failure:
-        out = self._ports.configuration.out_domains
-        domains = {
-            self._domains.get(server_id)
-            for server_id in progress.segment.candidates
-        }
-        if domains <= out:
-            return Failure.OUT_OF_SERVICE
-        if progress.attempts:
-            return progress.reason
-        return Failure.LOST
-
     def _close(self, progress: Progress) -> None:
         if not progress.closed:
             progress.closed = True
@@ -382,16 +344,6 @@
         )
 
 
-def _server_domains(
-    configuration: Configuration,
-    service: str,
-) -> dict[str, str]:
-    spec = configuration.services.get(service)
-    if spec is None:
-        return {}
-    return {server.server_id: server.domain for server in spec.servers}
-
-
 def _evidence_of(candidate: Candidate) -> dict[str, object]:
     return {
         'server': candidate.server_id,
--- a/src/daisydyke/_services/_query.py
+++ b/src/daisydyke/_queries/_query.py
@@ -15,6 +15,7 @@
     ServiceSpec,
 )
 from .._domain._planning import make_plan
+from .._operations._configuration import Configuration
 from ..exceptions import (
     CallerError,
     CoverageTooLowError,
@@ -23,7 +24,6 @@
     UnknownResourceError,
 )
 from ._catalogue import Catalogue
-from ._configuration import Configuration
 from ._fan_out import FanOut, QueryPorts, ServiceState
 from ._progress import Answer
 
--- a/src/daisydyke/_services/_routing.py
+++ b/src/daisydyke/_queries/_routing.py
@@ -5,10 +5,10 @@
 from returns.result import Failure as Failed
 
 from .._domain._model import Failure, SubFailure, SubRequest
+from .._limits._ownership import Ownership
+from .._operations._configuration import Configuration
+from .._peers._peers import PeerLinks
 from .._ports import SubResultSink
-from ._configuration import Configuration
-from ._ownership import Ownership
-from ._peers import PeerLinks
 
 
 class OwnerRoute:
--- a/src/daisydyke/_requests/_dispatch.py
+++ b/src/daisydyke/_requests/_dispatch.py
@@ -262,7 +262,6 @@
             server,
             self._encode(server.server_id, left),
             now,
-            self._schedule.deadline,
             self._route.idempotent,
             self._request.method == b'HEAD',
             self._outcomes,
--- a/src/daisydyke/_requests/_routes.py
+++ b/src/daisydyke/_requests/_routes.py
@@ -44,15 +44,6 @@
             end = path.rfind('/', 0, end)
         return None
 
-    def route_services(self) -> set[str]:
-        """Return the services that any route names."""
-        named: set[str] = set()
-        for prefixes in self._by_host.values():
-            for route in prefixes.values():
-                named.update(route.shards)
-                named.update(one.service for one in route.services)
-        return named
-
 
 def choose_service(route: Route, generator: random.Random) -> str:
     """Choose one service of a route in proportion to the weights."""
--- a/src/daisydyke/_services/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""What an entry VM does: queries, commits, leases, membership."""
--- a/tests/contract/test_peers.py
+++ b/tests/contract/test_peers.py
@@ -9,6 +9,7 @@
 
 from daisydyke._adapters._datagrams import Digest, Member, Status
 from daisydyke._adapters._frames import Hello, Message
+from daisydyke._commits._commit import CommitExecutor, CommitPorts
 from daisydyke._domain._choice import LatencyAwareChoice
 from daisydyke._domain._model import (
     Failure,
@@ -18,12 +19,11 @@
     ServerPhase,
     SubRequest,
 )
+from daisydyke._operations._configuration import Configuration
+from daisydyke._peers._peer_link import PeerLink
+from daisydyke._peers._peer_service import PeerService
 from daisydyke._ports import StoredObject
-from daisydyke._services._catalogue import Catalogue
-from daisydyke._services._commit import CommitExecutor, CommitPorts
-from daisydyke._services._configuration import Configuration
-from daisydyke._services._peer_link import PeerLink
-from daisydyke._services._peer_service import PeerService
+from daisydyke._queries._catalogue import Catalogue
 from daisydyke.exceptions import ConnectionLostError
 from tests.fakes import DirectRoute, ListLog, ListSink
 from tests.unit.test_gate import Bench
--- a/tests/gateway/test_address_book.py
+++ b/tests/gateway/test_address_book.py
@@ -6,7 +6,7 @@
 from testtools.matchers import Equals, LessThan
 
 from daisydyke._adapters._datagrams import Member, Status
-from daisydyke._services._address_book import AddressBook, has_enough_faster
+from daisydyke._members._address_book import AddressBook, has_enough_faster
 from tests.gateway.world import member
 
 
--- a/tests/load/backends.py
+++ b/tests/load/backends.py
@@ -81,7 +81,6 @@
     servers: dict[str, list[BackendServer]] = field(default_factory=dict)
     behaviours: dict[str, Behaviour] = field(default_factory=dict)
     arrivals: list[str] = field(default_factory=list)
-    deadlines: list[float] = field(default_factory=list)
     cancelled: list[Exchange] = field(default_factory=list)
 
     def add(self, service: str, replicas: int = 2, slots: int = 2) -> None:
@@ -112,7 +111,6 @@
         """Let a server work on an exchange in a task of its own."""
         server = exchange.server
         self.arrivals.append(server.server_id)
-        self.deadlines.append(exchange.deadline)
         server.outstanding[exchange.number] = exchange
         await curio.spawn(self._serve(exchange), daemon=True)
         return True
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -17,16 +17,16 @@
     ServiceSpec,
     SubRequest,
 )
-from daisydyke._ports import VmRecord
-from daisydyke._services._configuration import (
+from daisydyke._limits._fencing import Fencing
+from daisydyke._limits._gate import Allowance, ServerGate
+from daisydyke._limits._ownership import Ownership, OwnershipPorts
+from daisydyke._limits._session import Session
+from daisydyke._members._membership import Membership
+from daisydyke._operations._configuration import (
     Configuration,
     ConfigurationWatch,
 )
-from daisydyke._services._fencing import Fencing
-from daisydyke._services._gate import Allowance, ServerGate
-from daisydyke._services._membership import Membership
-from daisydyke._services._ownership import Ownership, OwnershipPorts
-from daisydyke._services._session import Session
+from daisydyke._ports import VmRecord
 from daisydyke._settings._daemon import LeaseSettings
 from tests.fakes import (
     FakeNetwork,
--- a/tests/unit/test_commit.py
+++ b/tests/unit/test_commit.py
@@ -8,13 +8,13 @@
 from testtools.matchers import Equals, HasLength
 
 from daisydyke._adapters._http_client import HttpResponse
-from daisydyke._domain._choice import LatencyAwareChoice
-from daisydyke._domain._model import Failure, Holder
-from daisydyke._services._commit import (
+from daisydyke._commits._commit import (
     RECORD_KEPT_S,
     CommitExecutor,
     CommitPorts,
 )
+from daisydyke._domain._choice import LatencyAwareChoice
+from daisydyke._domain._model import Failure, Holder
 from daisydyke.exceptions import BadRequestError
 from tests.unit.test_query import Setting, address, make_setting
 from tests.virtual_time import VirtualClock, run_virtual
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -9,11 +9,11 @@
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
-from daisydyke._ports import Listing, StoredObject
-from daisydyke._services._configuration import (
+from daisydyke._operations._configuration import (
     Configuration,
     ConfigurationWatch,
 )
+from daisydyke._ports import Listing, StoredObject
 from tests.fakes import FakePlatform, FakePlatformClient, ListLog
 from tests.unit.test_query import document
 from tests.virtual_time import VirtualClock, run_virtual
--- a/tests/unit/test_gate.py
+++ b/tests/unit/test_gate.py
@@ -21,7 +21,7 @@
     SubFailure,
     SubRequest,
 )
-from daisydyke._services._gate import ServerGate
+from daisydyke._limits._gate import ServerGate
 from tests.fakes import FakeServer, FakeServerConnection, ListLog, ListSink
 from tests.virtual_time import VirtualClock, run_virtual
 
--- a/tests/unit/test_operations.py
+++ b/tests/unit/test_operations.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, IsInstance
 
-from daisydyke._services._operations import Operations
+from daisydyke._operations._operations import Operations
 from daisydyke.exceptions import (
     InvalidDocumentError,
     PlatformUnavailableError,
--- a/tests/unit/test_query.py
+++ b/tests/unit/test_query.py
@@ -20,12 +20,12 @@
     ServerState,
     SubAnswer,
 )
+from daisydyke._operations._configuration import Configuration
 from daisydyke._ports import StoredObject
-from daisydyke._services._catalogue import Catalogue
-from daisydyke._services._configuration import Configuration
-from daisydyke._services._fan_out import QueryPorts
-from daisydyke._services._progress import Answer, ResultQueue
-from daisydyke._services._query import Query, QueryService
+from daisydyke._queries._catalogue import Catalogue
+from daisydyke._queries._fan_out import QueryPorts
+from daisydyke._queries._progress import Answer, ResultQueue
+from daisydyke._queries._query import Query, QueryService
 from daisydyke.exceptions import (
     CallerError,
     CoverageTooLowError,
