Say when to come back by the reason of a refusal

Cause: a quarter of a second was told whatever the reason; servers that start take about a second to register, and the window of extra load moves by seconds. Change: 1 s for no_server and no_budget.

--- a/src/daisydyke/_requests/_service.py
+++ b/src/daisydyke/_requests/_service.py
@@ -28,6 +28,12 @@
 _DEADLINE_MARGIN_S = 0.008
 _SETTLE_MARGIN_S = 0.013
 _RETRY_AFTER_S = 0.25
+# Seconds until servers that start are registered, or the window of the bound
+# on extra load has moved on.
+_RETRY_AFTER_LONG_S = 1.0
+_LASTING_REASONS = frozenset(
+    (FailureReason.NO_SERVER, FailureReason.NO_BUDGET),
+)
 _RETRY_AFTER_UNCONFIGURED_S = 0.5
 _MINIMUM_TIME_S = 0.003
 _ROUNDING = 1e-9
@@ -238,4 +244,5 @@
     if any(part.ran or part.reply for part in parts):
         late = FailureReason.TIMEOUT in reasons
         return Unanswered(reason, late)
-    return Refused(reason, _RETRY_AFTER_S)
+    lasting = reasons & _LASTING_REASONS
+    return Refused(reason, _RETRY_AFTER_LONG_S if lasting else _RETRY_AFTER_S)
--- a/tests/load/test_all_servers_of_a_shard_down.py
+++ b/tests/load/test_all_servers_of_a_shard_down.py
@@ -93,3 +93,10 @@
         answer, seconds = run_virtual(_without_servers)
         self.assertThat(answer, IsInstance(Refused))
         self.assertThat(seconds, Equals(0))
+
+    def test_time_to_come_back(self) -> None:
+        """A full service is soon free, one without servers is not."""
+        shedding = Behaviour(fails=lambda server: refusal())
+        full, _ = run_virtual(_with_dead, SHARDS, shedding)
+        empty, _ = run_virtual(_without_servers)
+        self.assertThat(full.retry_after, LessThan(empty.retry_after))
