--- a/src/daisydyke/_cli/_entry.py
+++ b/src/daisydyke/_cli/_entry.py
@@ -4,7 +4,6 @@
 
 import signal
 import sys
-from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 
@@ -17,6 +16,7 @@
 from .._adapters._sockets import disable_delay
 from .._domain._model import Address
 from .._settings._daemon import EntrySettings, load_entry_settings
+from ._tasks import Run, supervise
 from ._wiring import Entry, open_channel, wire_entry
 
 _LEAVE_SLACK_S = 0.5
@@ -27,9 +27,6 @@
 _BACKLOG = 512
 _DRAIN_POLL_S = 0.01
 _EXIT_INVALID_SETTINGS = 2
-_RESTART_PAUSE_S = 0.5
-
-Run = Callable[[], Awaitable[None]]
 
 
 @click.command()
@@ -85,19 +82,14 @@
         entry.peers.run_news,
         partial(_join, entry),
     )
+    report = partial(_report_failure, entry)
     return [
-        await curio.spawn(_supervise(entry, run), daemon=True) for run in runs
+        await curio.spawn(supervise(run, report), daemon=True) for run in runs
     ]
 
 
-async def _supervise(entry: Entry, run: Run) -> None:
-    """Run a task that should never end; log its failures and go on."""
-    while True:
-        try:
-            await run()
-        except Exception:
-            entry.logger.exception({'event': 'task_failed'})
-        await curio.sleep(_RESTART_PAUSE_S)
+def _report_failure(entry: Entry, error: Exception) -> None:
+    entry.logger.error({'event': 'task_failed'}, exc_info=error)
 
 
 async def _join(entry: Entry) -> None:
--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -5,7 +5,6 @@
 import gc
 import signal
 import sys
-from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 
@@ -19,11 +18,11 @@
 from .._ports import VmRecord
 from ..platform._settings import NodeSettings, load_node_settings
 from ._gateway_wiring import Gateway
+from ._tasks import Run, supervise
 
 _SETTINGS_VARIABLE = 'DAISYDYKE_NODE_FILE'
 METRICS_PORT = 9464
 _EXIT_INVALID_SETTINGS = 2
-_RESTART_PAUSE_S = 0.5
 _JOIN_POLL_S = 0.05
 _STAND_BY_POLL_S = 0.25
 # Time in which VMs that start together come to know each other.
@@ -34,8 +33,6 @@
 _LINGER_PART = 0.55
 _GC_THRESHOLD = 20000
 
-Run = Callable[[], Awaitable[None]]
-
 
 @click.command()
 @click.argument(
@@ -104,20 +101,13 @@
 
 
 async def _spawn(gateway: Gateway, run: Run) -> None:
-    await curio.spawn(_supervise(gateway, run), daemon=True)
-
-
-async def _supervise(gateway: Gateway, run: Run) -> None:
-    """Run a task that should never end; log its failures and go on."""
-    while True:
-        try:
-            await run()
-        except Exception as error:
-            gateway.log.record(
-                'task_failed',
-                error=f'{type(error).__name__}: {error}',
-            )
-        await curio.sleep(_RESTART_PAUSE_S)
+    report = partial(_report_failure, gateway)
+    await curio.spawn(supervise(run, report), daemon=True)
+
+
+def _report_failure(gateway: Gateway, error: Exception) -> None:
+    kind = type(error).__name__
+    gateway.log.record('task_failed', error=f'{kind}: {error}')
 
 
 async def _join(gateway: Gateway) -> None:
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -15,10 +15,10 @@
 from .._adapters._metrics import MetricsRegistry
 from .._adapters._observability import JsonDecisionLog, make_logger
 from .._backends._cold_admission import ColdAdmission
-from .._backends._extra_load import ExtraLoad
 from .._backends._pool import ConnectionPool
 from .._backends._registry import ServerRegistry, usable
 from .._backends._server import BackendServer
+from .._backends._shares import FleetShares
 from .._members._address_book import AddressBook
 from .._members._membership import Membership
 from .._mirror._mirror import KindMirror
@@ -45,7 +45,6 @@
 from ..platform._settings import NodeSettings
 from ..platform._store import ObjectStore
 
-_CONNECTIONS_USED_PART = 0.85
 _PACE_S = 0.1
 # Seconds; each server that starts or leaves changes its entry several times.
 _SERVER_PACE_S = 0.5
@@ -95,16 +94,24 @@
         self.store = ObjectStore(settings.store)
         self.health = StoreHealth(self.clock, self.log)
         self.registry = ServerRegistry(self.clock, self.log)
-        self.pool = ConnectionPool(
-            HttpReplyStream,
-            self._connection_limit,
-            self.clock,
-        )
         self.tables = TableSink(
             CONFIGURATION_NAME,
             decode_configuration,
             self.log,
         )
+        self.membership = self._make_membership()
+        self.book = AddressBook(self.membership, settings.longest_keep)
+        self._shares = FleetShares(
+            settings.extra_load,
+            self._policy,
+            self.book.sender_count,
+            self.clock,
+        )
+        self.pool = ConnectionPool(
+            HttpReplyStream,
+            self._shares.connection_limit,
+            self.clock,
+        )
         self.domains = DomainSink(self.log)
         self.servers = ServerSink(
             self.registry,
@@ -122,8 +129,6 @@
                 (OUT_DOMAIN_KIND, self.domains, _PACE_S),
             )
         ]
-        self.membership = self._make_membership()
-        self.book = AddressBook(self.membership, settings.longest_keep)
         self._cold = ColdAdmission(
             settings.vm,
             settings.cold,
@@ -131,7 +136,6 @@
             self._alive_names,
             self.clock,
         )
-        self._extra_loads: dict[str, ExtraLoad] = {}
         self.requests = RequestService(self._request_ports())
         self.callers = HttpServer(
             CallerHandler(self.requests, self.clock).handle,
@@ -182,7 +186,7 @@
             self.pool,
             self._candidates,
             self._cold.admit,
-            self._extra_load,
+            self._shares.extra_load,
             encode_request,
             self.clock,
             self.log,
@@ -224,27 +228,6 @@
     def _alive_names(self) -> list[str]:
         return [member.vm for member in self.membership.alive()]
 
-    def _sender_count(self) -> int:
-        return self.book.sender_count()
-
-    def _connection_limit(self, server: BackendServer) -> int:
-        policy = self._policy(server.record.service)
-        if policy is None:
-            return 1
-        used = policy.maximum_connections * _CONNECTIONS_USED_PART
-        return max(1, int(used / self._sender_count()))
-
-    def _extra_load(self, service: str) -> ExtraLoad:
-        known = self._extra_loads.get(service)
-        if known is None:
-            known = ExtraLoad(
-                self.settings.extra_load,
-                self.clock,
-                lambda: 1 / self._sender_count(),
-            )
-            self._extra_loads[service] = known
-        return known
-
     def _limits(self) -> HttpLimits:
         table = self.tables.table
         if table is None:
