Refuse a request with two lengths

Cause: a request with Content-Length and Transfer-Encoding was read as chunked and its remainder as the next request (tests/contract/test_http_server.py, seen failing: two responses for one request). The standard lets a server reject it. Excluded: the remainder ran (h11 refused it for want of a Host here). Change: 400 and the connection is closed, as for other ambiguous requests.

--- a/src/daisydyke/_adapters/_http_server.py
+++ b/src/daisydyke/_adapters/_http_server.py
@@ -20,6 +20,7 @@
 _BACKLOG = 512
 _DRAIN_POLL_S = 0.01
 _SWEEP_INTERVAL_S = 0.5
+_BODY_LENGTH_FIELDS = frozenset((b'content-length', b'transfer-encoding'))
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -202,6 +203,7 @@
                 await self._await_more()
                 return True
             if isinstance(event, h11.Request):
+                _check_framing(event)
                 self._head = event
                 self._body.clear()
             elif isinstance(event, h11.Data):
@@ -288,6 +290,17 @@
         )
 
 
+def _check_framing(head: h11.Request) -> None:
+    """Refuse a body with two lengths, which others may read differently.
+
+    Raises:
+        RemoteProtocolError: both are there.
+    """
+    names = {name for name, _ in head.headers}
+    if names.issuperset(_BODY_LENGTH_FIELDS):
+        raise h11.RemoteProtocolError('length and transfer coding together')
+
+
 def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
     headers = {
         name.decode('ascii'): text.decode('latin-1')
