Catch up from members while the store turns this VM away

Excluded: passing whole documents on gossip datagrams (a configuration has up to a megabyte), a second watch over peers (a connection for each pair).

Change: gossip compares the sum of the latest change of each mirrored kind. A VM behind a member for over a second reads the kinds from that member over HTTP on the peers' port, whatever the store says. Copies older than what is known are ignored, as is a watch that a copy has overtaken; a compacted history no longer forgets the version known. A registration that a member lacks is removed after the time that servers get to register again.

--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -86,12 +86,14 @@
     await gateway.readiness.start(settings.readiness)
     await gateway.directory.start(settings.directory)
     await gateway.callers.start(settings.callers)
+    await gateway.copies.start(settings.peers)
     await gateway.scrapes.start(
         Address(settings.gossip.host, METRICS_PORT),
     )
     runs: tuple[Run, ...] = (
         gateway.servers.run_removals,
         partial(gateway.pool.run, gateway.registry.all),
+        gateway.relay.run,
         gateway.membership.run_receiver,
         gateway.membership.run_probes,
         partial(_meet_others, gateway),
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -4,15 +4,15 @@
 
 import sys
 import time
-from dataclasses import dataclass
 from itertools import count
 
 from .._adapters._bounded_stream import BoundedStream
 from .._adapters._clock import RuntimeClock
-from .._adapters._datagrams import Digest, Member, Status, UdpGossip
+from .._adapters._datagrams import Member, Status, UdpGossip
 from .._adapters._http_server import HttpLimits, HttpServer
 from .._adapters._limited_log import LimitedDecisionLog
 from .._adapters._metrics import MetricsRegistry
+from .._adapters._mirror_exchange import MirrorHandler, PeerMirrors
 from .._adapters._observability import JsonDecisionLog, make_logger
 from .._backends._cold_admission import ColdAdmission
 from .._backends._pool import ConnectionPool
@@ -22,8 +22,10 @@
 from .._members._address_book import AddressBook
 from .._members._membership import Membership
 from .._mirror._mirror import KindMirror
+from .._mirror._relay import MirrorRelay
 from .._mirror._sinks import DomainSink, ServerSink, TableSink
 from .._mirror._store_health import StoreHealth
+from .._ports import Listing
 from .._requests._dispatch import DispatchPorts
 from .._requests._model import ServicePolicy
 from .._requests._service import RequestPorts, RequestService
@@ -50,30 +52,6 @@
 _SERVER_PACE_S = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class MirrorDigest:
-    """Version of the configuration in force, for comparison by members."""
-
-    tables: TableSink
-
-    @property
-    def version(self) -> int:
-        """Version of the configuration in force, 0 before the first."""
-        return self.tables.table.version if self.tables.table else 0
-
-    @property
-    def digest(self) -> int:
-        """The version says it all."""
-        return 0
-
-
-class NoLag:
-    """Takes no notice of members that lag."""
-
-    async def differs(self, member: Member, digest: Digest) -> None:
-        """Leave it to the member's own watch."""
-
-
 class Gateway:
     """The wired parts of a gateway daemon."""
 
@@ -99,6 +77,13 @@
             decode_configuration,
             self.log,
         )
+        self.mirrors: list[KindMirror] = []
+        self.relay = MirrorRelay(
+            self.mirrors,
+            PeerMirrors(),
+            self.clock,
+            self.log,
+        )
         self.membership = self._make_membership()
         self.book = AddressBook(self.membership, settings.longest_keep)
         self._shares = FleetShares(
@@ -121,14 +106,14 @@
             self.clock,
             self.log,
         )
-        self.mirrors = [
+        self.mirrors.extend(
             KindMirror(kind, self.store, sink, self.health, self.log, pace)
             for kind, sink, pace in (
                 (CONFIGURATION_KIND, self.tables, _PACE_S),
                 (SERVER_KIND, self.servers, _SERVER_PACE_S),
                 (OUT_DOMAIN_KIND, self.domains, _PACE_S),
             )
-        ]
+        )
         self._cold = ColdAdmission(
             settings.vm,
             settings.cold,
@@ -146,6 +131,7 @@
             DirectoryHandler(self.book.addresses).handle
         )
         self.readiness = HttpServer(ReadinessHandler(self.is_ready).handle)
+        self.copies = HttpServer(MirrorHandler(self._listing_of).handle)
         self.scrapes = HttpServer(MetricsHandler(self.metrics.render).handle)
 
     def is_ready(self) -> bool:
@@ -175,8 +161,8 @@
         return Membership(
             me,
             UdpGossip(settings.gossip),
-            MirrorDigest(self.tables),
-            NoLag(),
+            self.relay,
+            self.relay,
             self.clock,
             self.log,
         )
@@ -204,8 +190,9 @@
     def _gauges(self) -> dict[str, float]:
         lost_at = self.health.lost_at
         now = self.clock.monotonic()
+        table = self.tables.table
         return {
-            'configuration_version': MirrorDigest(self.tables).version,
+            'configuration_version': table.version if table else 0,
             'members_alive': len(self.membership.alive()),
             'servers_known': len(self.registry.identifiers()),
             'domains_out': len(self.domains.out),
@@ -218,6 +205,12 @@
             'log_lines_dropped': self._stream.dropped,
         }
 
+    def _listing_of(self, kind: str) -> Listing | None:
+        for mirror in self.mirrors:
+            if mirror.kind == kind:
+                return mirror.listing()
+        return None
+
     def _candidates(self, service: str) -> list[BackendServer]:
         return usable(self.registry.of_service(service), self.domains.out)
 
--- a/src/daisydyke/_mirror/_mirror.py
+++ b/src/daisydyke/_mirror/_mirror.py
@@ -32,6 +32,10 @@
         sink: takes what is learned, in the order of the store's versions.
         pace: seconds between two watches; changes that come within them are
             read with one call.
+
+    Attributes:
+        version: version of the store up to which this VM knows the kind.
+        changed_at: version of the latest change seen.
     """
 
     def __init__(
@@ -50,53 +54,91 @@
         self._health = health
         self._log = log
         self._pace = pace
+        self._objects: dict[str, StoredObject] = {}
+        self._history_gone = False
         self.version = 0
+        self.changed_at = 0
         self.listed = curio.Event()
 
+    @property
+    def kind(self) -> str:
+        """The kind that is followed."""
+        return self._kind
+
+    def listing(self) -> Listing:
+        """Return all objects of the kind as this VM knows them."""
+        return Listing(self.version, tuple(self._objects.values()))
+
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
-            if self.version:
+            if self.version and not self._history_gone:
                 await self._watch()
             else:
                 await self._list()
 
-    async def _list(self) -> None:
-        outcome = await self._platform.list_objects((self._kind,))
-        if not isinstance(outcome, Success):
-            await self._health.failed(outcome.failure())
-            return
-        self._health.succeeded()
-        listing = outcome.unwrap()
-        await self._sink.replace(listing.objects)
+    async def take(self, listing: Listing, source: str) -> bool:
+        """Replace all objects unless the listing is older than they are.
+
+        Parameters:
+            source: whom the listing comes from, for the log.
+        """
+        if listing.version <= self.version:
+            return False
+        self._objects = {one.name: one for one in listing.objects}
         self.version = listing.version
+        self._note_changes(listing)
+        await self._sink.replace(listing.objects)
         self._log.record(
             'listed',
             kind=self._kind,
             version=listing.version,
             objects=len(listing.objects),
+            source=source,
         )
         await self.listed.set()
+        return True
+
+    async def _list(self) -> None:
+        outcome = await self._platform.list_objects((self._kind,))
+        if not isinstance(outcome, Success):
+            await self._health.failed(outcome.failure())
+            return
+        self._health.succeeded()
+        self._history_gone = False
+        await self.take(outcome.unwrap(), 'store')
 
     async def _watch(self) -> None:
+        after = self.version
         outcome = await self._platform.watch(
             (self._kind,),
-            self.version,
+            after,
             _WATCH_WAIT_S,
         )
         if isinstance(outcome, Success):
             self._health.succeeded()
-            await self._apply(outcome.unwrap())
+            # A member's listing may have gone ahead of the watch.
+            if after == self.version:
+                await self._apply(outcome.unwrap())
             return
         error = outcome.failure()
         if isinstance(error, HistoryGoneError):
             self._log.record('history_gone', kind=self._kind)
-            self.version = 0
+            self._history_gone = True
             return
         await self._health.failed(error)
 
     async def _apply(self, listing: Listing) -> None:
+        self._note_changes(listing)
         for stored in listing.objects:
+            if stored.text is None:
+                self._objects.pop(stored.name, None)
+            else:
+                self._objects[stored.name] = stored
             await self._sink.change(stored)
         self.version = max(self.version, listing.version)
         await curio.sleep(self._pace)
+
+    def _note_changes(self, listing: Listing) -> None:
+        versions = (stored.version for stored in listing.objects)
+        self.changed_at = max(self.changed_at, *versions, 0)
--- /dev/null
+++ b/src/daisydyke/_mirror/_relay.py
@@ -0,0 +1,107 @@
+"""Takes copies of the store's kinds from members that are ahead.
+
+The store may serve the operator and other VMs but not this one. Members
+compare versions on every gossip datagram; a VM that stays behind reads what
+it lacks from the member that has it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import curio
+from returns.result import Result, Success
+
+from .._adapters._datagrams import Digest, Member
+from .._domain._model import Address
+from .._ports import Clock, DecisionLog, Listing
+from ..exceptions import DaisydykeError
+from ._mirror import KindMirror
+
+# Seconds by which watches of healthy VMs differ at most.
+_NORMAL_LAG_S = 1.0
+
+
+class MemberCopies(Protocol):
+    """Reads the copies of another VM."""
+
+    async def fetch(
+        self,
+        address: Address,
+        kind: str,
+        after: int,
+    ) -> Result[Listing, DaisydykeError]:
+        """Read a member's copy of a kind unless it is not newer."""
+
+
+class MirrorRelay:
+    """Notices that this VM is behind, and catches up from a member."""
+
+    def __init__(
+        self,
+        mirrors: Sequence[KindMirror],
+        copies: MemberCopies,
+        clock: Clock,
+        log: DecisionLog,
+    ) -> None:
+        """Start level with all members."""
+        self._mirrors = mirrors
+        self._copies = copies
+        self._clock = clock
+        self._log = log
+        self._own_version = 0
+        self._behind_since: float | None = None
+        self._ahead: Member | None = None
+        self._wake = curio.Event()
+
+    @property
+    def version(self) -> int:
+        """Rises with every change of any mirrored kind."""
+        return sum(mirror.changed_at for mirror in self._mirrors)
+
+    @property
+    def digest(self) -> int:
+        """The version says it all."""
+        return 0
+
+    async def differs(self, member: Member, digest: Digest) -> None:
+        """Catch up from a member that has been ahead for too long."""
+        now = self._clock.monotonic()
+        if self.version != self._own_version:
+            self._own_version = self.version
+            self._behind_since = None
+        if digest.version <= self._own_version:
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since >= _NORMAL_LAG_S:
+            self._ahead = member
+            await self._wake.set()
+
+    async def run(self) -> None:
+        """Catch up whenever that is needed, until cancelled."""
+        while True:
+            await self._wake.wait()
+            if self._ahead is not None:
+                await self._catch_up(self._ahead)
+            self._behind_since = None
+            self._wake.clear()
+
+    async def _catch_up(self, member: Member) -> None:
+        address = Address(member.host, member.peer_port)
+        for mirror in self._mirrors:
+            copied = await self._copies.fetch(
+                address,
+                mirror.kind,
+                mirror.version,
+            )
+            if not isinstance(copied, Success):
+                self._log.record(
+                    'relay_failed',
+                    member=member.vm,
+                    kind=mirror.kind,
+                    error=str(copied.failure()),
+                )
+                return
+            await mirror.take(copied.unwrap(), member.vm)
--- a/src/daisydyke/_mirror/_sinks.py
+++ b/src/daisydyke/_mirror/_sinks.py
@@ -156,10 +156,14 @@
     async def _remove(self, server_id: str) -> None:
         regained = self._health.regained_at
         now = self._clock.monotonic()
-        if regained is not None and now < regained + _REGISTER_AGAIN_S:
+        if self._health.lost:
+            # Learned from a member, which may itself have just regained the
+            # store.
+            self._removals[server_id] = now + _REGISTER_AGAIN_S
+        elif regained is not None and now < regained + _REGISTER_AGAIN_S:
             self._removals[server_id] = regained + _REGISTER_AGAIN_S
-            return
-        await self._remove_now(server_id)
+        else:
+            await self._remove_now(server_id)
 
     async def _remove_now(self, server_id: str) -> None:
         self._removals.pop(server_id, None)
