Send callers to VMs beside the data; let VMs that stand by talk less

Excluded: hedges (8 in 100 sends), the store's lists (VMs that stand by hold none), the callers' own bytes (1 KB a query against 90).

Change: VMs that are only joining are not gossiped; a VM that stands by meets the wanted ones and three others, probes every third period unless somebody is suspected, and passes news on at once. Callers are sent to VMs in failure domains that hold at least half of what the best one holds. A VM's speed is its share times the speed of its core.

--- a/src/daisydyke/_adapters/_datagrams.py
+++ b/src/daisydyke/_adapters/_datagrams.py
@@ -29,7 +29,7 @@
     Parameters:
         incarnation: raised by the member itself, to refute a suspicion.
         start: identifies the process among those of its VM; rises.
-        speed: how fast one thread runs there, as a part of a core.
+        speed: how fast a process runs there, 1 for a whole core.
     """
 
     vm: str
--- a/src/daisydyke/_cli/_entry.py
+++ b/src/daisydyke/_cli/_entry.py
@@ -15,6 +15,7 @@
 from .._adapters._signals import SignalStream
 from .._adapters._sockets import disable_delay
 from .._domain._model import Address
+from .._members._seeds import Seeds
 from .._settings._daemon import EntrySettings, load_entry_settings
 from ._tasks import Run, supervise
 from ._wiring import Entry, open_channel, wire_entry
@@ -70,11 +71,7 @@
         entry.watch.run,
         entry.membership.run_receiver,
         entry.membership.run_probes,
-        partial(
-            entry.membership.run_seeds,
-            entry.platform,
-            entry.settings.seeds,
-        ),
+        Seeds(entry.membership, entry.platform, entry.settings.seeds).run,
         entry.session.run,
         entry.fencing.run_vm_list,
         entry.ownership.run,
@@ -98,7 +95,7 @@
     while waited < _LONGEST_JOIN_S and not entry.is_ready():
         await curio.sleep(_JOIN_POLL_S)
         waited += _JOIN_POLL_S
-    entry.membership.join()
+    await entry.membership.join()
     await curio.Event().wait()
 
 
--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -14,7 +14,8 @@
 
 from .._adapters._signals import SignalStream
 from .._domain._model import Address
-from .._members._address_book import has_enough_faster
+from .._members._seeds import Seeds
+from .._members._speed import has_enough_faster
 from .._ports import VmRecord
 from ..platform._settings import NodeSettings, load_node_settings
 from ._gateway_wiring import Gateway
@@ -120,7 +121,7 @@
         await _spawn(gateway, mirror.run)
     while not gateway.is_informed():
         await curio.sleep(_JOIN_POLL_S)
-    gateway.membership.join()
+    await gateway.membership.join()
     gateway.log.record('ready')
     await curio.Event().wait()
 
@@ -132,7 +133,7 @@
     for longer than reads.
     """
     await _register(gateway)
-    await gateway.membership.run_seeds(gateway.store, ())
+    await Seeds(gateway.membership, gateway.store).run()
 
 
 async def _register(gateway: Gateway) -> None:
@@ -163,6 +164,7 @@
         await curio.sleep(_MEET_S)
     if gateway.book.is_wanted():
         return
+    gateway.membership.standing_by = True
     gateway.log.record('standing_by', speed=settings.speed)
     while not gateway.book.is_wanted():
         await curio.sleep(_STAND_BY_POLL_S)
--- a/src/daisydyke/_members/_address_book.py
+++ b/src/daisydyke/_members/_address_book.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from .._adapters._datagrams import Member, Status
 from .._domain._model import Address
 from ._membership import Membership
+from ._speed import fast
 
 # Seconds; callers of a VM that is gone ask again after this time.
 _KEEP_S = 1.0
 _ENOUGH_NEAR = 2
-_ENOUGH_FAST = 4
-# Part of the fastest VM's speed from which a VM counts as fast.
-_FAST_PART = 0.8
+# Part of the services of the best placed failure domain from which a failure
+# domain counts as one that holds data.
+_HOLDING_PART = 0.5
 _PRESENT = frozenset((Status.ALIVE, Status.JOINING, Status.SUSPECT))
 
 
@@ -21,20 +22,30 @@
     """Addresses of the VMs that take requests, fast and near ones first.
 
     A request to all shards costs so much of a slow VM's time that it is late
-    there; and the fewer VMs send to a server, the more each knows of it.
+    there; and the fewer VMs send to a server, the more each knows of it. VMs
+    beside the data go before VMs beside the caller, since a request crosses
+    to the data once for each shard and to the caller once.
 
     Parameters:
         longest_keep: seconds for which callers keep an answer at most.
+        services_held: returns how many services have a server in each
+            failure domain.
     """
 
-    def __init__(self, membership: Membership, longest_keep: float) -> None:
+    def __init__(
+        self,
+        membership: Membership,
+        longest_keep: float,
+        services_held: Callable[[], Mapping[str, int]],
+    ) -> None:
         """Read the members whenever asked."""
         self._membership = membership
         self._keep = min(_KEEP_S, longest_keep)
+        self._services_held = services_held
 
     def addresses(self, domain: str) -> tuple[list[str], float]:
         """Return addresses for a caller and the seconds to keep them."""
-        members = _fast(self._membership.addressable())
+        members = self._holding(fast(self._membership.addressable()))
         near = [one for one in members if one.domain == domain]
         if len(near) >= _ENOUGH_NEAR:
             members = near
@@ -53,7 +64,7 @@
             for member in self._membership.members.values()
             if member.status in _PRESENT
         ]
-        return self._membership.me in _fast(present)
+        return self._membership.me in fast(present)
 
     def sender_count(self) -> int:
         """Return how many VMs share what servers accept.
@@ -62,17 +73,11 @@
         notices.
         """
         members = tuple(self._membership.members.values())
-        return max(1, len(_fast(members)))
-
-
-def _fast(members: Sequence[Member]) -> Sequence[Member]:
-    highest = max((member.speed for member in members), default=0)
-    bound = highest * _FAST_PART
-    fast = tuple(member for member in members if member.speed >= bound)
-    return fast if len(fast) >= _ENOUGH_FAST else members
-
-
-def has_enough_faster(speed: float, speeds: Sequence[float]) -> bool:
-    """Tell whether enough VMs are faster than one of this speed."""
-    faster = [one for one in speeds if one * _FAST_PART > speed]
-    return len(faster) >= _ENOUGH_FAST
+        return max(1, len(fast(members)))
+
+    def _holding(self, members: Sequence[Member]) -> Sequence[Member]:
+        """Return the members in failure domains that hold data."""
+        held = self._services_held()
+        bound = max(held.values(), default=0) * _HOLDING_PART
+        found = [one for one in members if held.get(one.domain, 0) >= bound]
+        return found if len(found) >= _ENOUGH_NEAR else members
--- a/src/daisydyke/_members/_membership.py
+++ b/src/daisydyke/_members/_membership.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
+from itertools import count
 from typing import Protocol
 
 import curio
@@ -25,7 +26,8 @@
     PingRequest,
     Status,
 )
-from .._ports import Clock, DecisionLog, Platform
+from .._ports import Clock, DecisionLog
+from ._speed import fast
 
 _PERIOD_S = 0.5
 _ACK_TIMEOUT_S = 0.15
@@ -33,7 +35,10 @@
 _SUSPICION_S = 2.0
 _UPDATES_PER_DATAGRAM = 6
 _RETRANSMIT_FACTOR = 4
-_SEED_INTERVAL_S = 5.0
+# Probes in one period of this many only.
+_STAND_BY_PERIODS = 3
+# VMs that news is passed on to at once.
+_SPREAD_TO = 3
 _MAXIMUM_PENDING_ACKS = 64
 
 
@@ -73,7 +78,14 @@
 
 
 class Membership:
-    """The members that this VM knows, itself included."""
+    """The members that this VM knows, itself included.
+
+    Attributes:
+        standing_by: whether this VM is not to take work for now; it then
+            probes less.
+        joined: set once this VM takes work.
+        generation: rises with every change of a member's status.
+    """
 
     def __init__(
         self,
@@ -98,6 +110,9 @@
         self._relays: dict[int, tuple[str, int]] = {}
         self._order: list[str] = []
         self._sequence = 0
+        self.standing_by = False
+        self._has_news = False
+        self.joined = curio.Event()
         self.generation = 0
 
     @property
@@ -131,8 +146,10 @@
         member = self._members.get(vm)
         return member is None or member.status is Status.DEAD
 
-    def join(self) -> None:
+    async def join(self) -> None:
         """Tell the others that this VM takes work from now on."""
+        self.standing_by = False
+        await self.joined.set()
         if self._me.status is Status.JOINING:
             self._set_me(Status.ALIVE, self._me.incarnation + 1)
 
@@ -142,10 +159,10 @@
 
     async def run_probes(self) -> None:
         """Probe one member in each period until cancelled."""
-        while True:
+        for period in count():
             started = self._clock.monotonic()
             self._expire_suspicions()
-            target = self._next_target()
+            target = self._next_target() if self._is_due(period) else None
             if target is not None:
                 await self._probe(target)
             spent = self._clock.monotonic() - started
@@ -157,27 +174,23 @@
             host, datagram = await self._datagrams.receive()
             await self._handle(host, datagram)
 
-    async def run_seeds(
-        self,
-        platform: Platform,
-        hosts: Sequence[str],
-    ) -> None:
-        """Ping VMs that are not yet members, until cancelled.
-
-        Parameters:
-            hosts: tried beside the platform's list, so that a VM that starts
-                while the platform is down finds the others.
-        """
-        while True:
-            outcome = await platform.list_vms()
-            listed = [record.address for record in outcome.value_or(())]
-            for host in (*listed, *hosts):
-                if self._is_new(host):
-                    await self._ping(host)
-            await curio.sleep(_SEED_INTERVAL_S)
+    async def ping(self, host: str) -> int:
+        """Ping a host; returns the sequence number of its answer."""
+        self._sequence += 1
+        sequence = self._sequence
+        self._acks[sequence] = curio.Event()
+        if len(self._acks) > _MAXIMUM_PENDING_ACKS:
+            self._acks.pop(next(iter(self._acks)))
+        await self._datagrams.send(
+            host,
+            Ping(sequence, self._me, self._my_digest(), self._take_updates()),
+        )
+        return sequence
 
-    def _is_new(self, host: str) -> bool:
-        return host not in {member.host for member in self.alive()}
+    def _is_due(self, period: int) -> bool:
+        if self.standing_by and not self._suspected_at:
+            return period % _STAND_BY_PERIODS == 0
+        return True
 
     def _set_me(self, status: Status, incarnation: int) -> None:
         self._me = msgspec.structs.replace(
@@ -192,12 +205,15 @@
             member = self._members.get(self._order.pop())
             if member is not None and member.status is not Status.DEAD:
                 return member
-        self._order = [vm for vm in self._members if vm != self._me.vm]
+        others = [one for one in self._members.values() if one != self._me]
+        if self.standing_by:
+            others = list(fast(others))
+        self._order = [member.vm for member in others]
         random.shuffle(self._order)
         return None
 
     async def _probe(self, target: Member) -> None:
-        sequence = await self._ping(target.host)
+        sequence = await self.ping(target.host)
         if await self._acknowledged(sequence, _ACK_TIMEOUT_S):
             return
         helpers = [
@@ -205,25 +221,13 @@
             for member in self.alive()
             if member.vm not in {target.vm, self._me.vm}
         ]
-        count = min(_INDIRECT_PROBES, len(helpers))
-        for helper in random.sample(helpers, count):
+        asked = min(_INDIRECT_PROBES, len(helpers))
+        for helper in random.sample(helpers, asked):
             request = PingRequest(sequence, self._me, target.host)
             await self._datagrams.send(helper.host, request)
         if not await self._acknowledged(sequence, _ACK_TIMEOUT_S):
             self._suspect(target)
 
-    async def _ping(self, host: str) -> int:
-        self._sequence += 1
-        sequence = self._sequence
-        self._acks[sequence] = curio.Event()
-        if len(self._acks) > _MAXIMUM_PENDING_ACKS:
-            self._acks.pop(next(iter(self._acks)))
-        await self._datagrams.send(
-            host,
-            Ping(sequence, self._me, self._my_digest(), self._take_updates()),
-        )
-        return sequence
-
     async def _acknowledged(self, sequence: int, timeout: float) -> bool:
         event = self._acks.get(sequence)
         if event is None:
@@ -234,7 +238,7 @@
     async def _handle(self, host: str, datagram: Datagram) -> None:
         self._hear_from(datagram.sender)
         if isinstance(datagram, PingRequest):
-            sequence = await self._ping(datagram.target_host)
+            sequence = await self.ping(datagram.target_host)
             self._relays[sequence] = (host, datagram.sequence)
             return
         for member in datagram.updates:
@@ -245,6 +249,22 @@
             await self._receive_ack(datagram)
         if datagram.configuration != self._my_digest():
             await self._lag.differs(datagram.sender, datagram.configuration)
+        if self._has_news:
+            await self._spread()
+
+    async def _spread(self) -> None:
+        """Pass news on at once where VMs stand by, which probe seldom."""
+        self._has_news = False
+        others = [
+            member
+            for member in self._members.values()
+            if member.status is not Status.DEAD and member.vm != self._me.vm
+        ]
+        if all(one.status is not Status.JOINING for one in others):
+            return
+        contacts = min(_SPREAD_TO, len(others))
+        for member in random.sample(others, contacts):
+            await self.ping(member.host)
 
     async def _acknowledge(self, host: str, sequence: int) -> None:
         ack = Ack(sequence, self._me, self._my_digest(), self._take_updates())
@@ -284,13 +304,17 @@
     def _adopt(self, member: Member) -> None:
         known = self._members.get(member.vm)
         self._members[member.vm] = member
-        self._updates[member.vm] = _Update(member)
+        # Only what VMs that take work do concerns everybody; on a large fleet
+        # most of the others stand by.
+        if member.status is not Status.JOINING:
+            self._updates[member.vm] = _Update(member)
         if member.status is Status.SUSPECT:
             self._suspected_at[member.vm] = self._clock.monotonic()
         else:
             self._suspected_at.pop(member.vm, None)
         if known is None or known.status is not member.status:
             self.generation += 1
+            self._has_news = member.status is not Status.JOINING
             self._log.record(
                 'member',
                 member=member.vm,
--- a/src/daisydyke/_ports.py
+++ b/src/daisydyke/_ports.py
@@ -83,7 +83,7 @@
     """A VM on the platform's list, which lags.
 
     Parameters:
-        speed: how fast one thread runs there, as a part of a core.
+        speed: how fast a process runs there, 1 for a whole core.
     """
 
     name: str
--- a/src/daisydyke/platform/_settings.py
+++ b/src/daisydyke/platform/_settings.py
@@ -32,8 +32,10 @@
 
 
 class _Machine(msgspec.Struct):
-    # Part of one core that a thread gets.
+    # Part of one core that a process gets.
     cpu_share: float = 1
+    # Factor on the speed of that core; a process still has but one.
+    cpu_cores: float = 1
 
 
 class _Store(msgspec.Struct):
@@ -65,7 +67,7 @@
         peers: where other VMs connect.
         grace: seconds from SIGTERM to SIGKILL.
         longest_keep: seconds for which callers keep an address at most.
-        speed: how fast one thread runs, as a part of a core.
+        speed: how fast a process runs, 1 for a whole core.
         first_start: whether all VMs start together, none having run before.
     """
 
@@ -131,6 +133,6 @@
         ColdBounds(bounds.warmup_excess, bounds.warmup_slack),
         bounds.grace_s,
         bounds.ttl_max_s,
-        found.limits.cpu_share,
+        found.limits.cpu_share * found.limits.cpu_cores,
         found.bootstrap,
     )
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -22,6 +22,7 @@
 from daisydyke._limits._ownership import Ownership, OwnershipPorts
 from daisydyke._limits._session import Session
 from daisydyke._members._membership import Membership
+from daisydyke._members._seeds import Seeds
 from daisydyke._operations._configuration import (
     Configuration,
     ConfigurationWatch,
@@ -198,7 +199,7 @@
             await gate.submit(request, self.sink)
 
     async def _run_seeds(self) -> None:
-        await self.membership.run_seeds(self.client, self.seeds)
+        await Seeds(self.membership, self.client, self.seeds).run()
 
     def _make_gate(
         self,
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -53,6 +53,12 @@
         self.assertThat(str(found.gossip), Equals('10.1.0.9:7380'))
         self.assertThat(found.extra_load.slack, Equals(126))
 
+    def test_speed(self) -> None:
+        """A share of a core that is several times as fast counts as such."""
+        self.write(limits={'cpu_share': 0.5, 'cpu_cores': 3})
+        found = load_node_settings(self.path).unwrap()
+        self.assertThat(found.speed, Equals(1.5))
+
     def test_missing_member(self) -> None:
         """The error names the file and the member."""
         self.write(platform=None)
