--- a/src/daisydyke/_members/_membership.py
+++ b/src/daisydyke/_members/_membership.py
@@ -9,7 +9,6 @@
 
 import math
 import random
-from collections.abc import Sequence
 from dataclasses import dataclass
 from itertools import count
 from typing import Protocol
