Name VMs near the caller again: shards are spread over all failure domains

Excluded: a higher cost of far servers.

Change: what names VMs by the data they are beside is taken back.

--- a/src/daisydyke/_backends/_registry.py
+++ b/src/daisydyke/_backends/_registry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterable
 
 from .._ports import Clock, DecisionLog
@@ -29,14 +28,6 @@
         """Return the registered servers of a service."""
         return self._by_service.get(service, [])
 
-    def services_held(self, out_domains: frozenset[str]) -> dict[str, int]:
-        """Count the services with a usable server in each failure domain."""
-        held: Counter[str] = Counter()
-        for servers in self._by_service.values():
-            found = usable(servers, out_domains)
-            held.update({server.record.domain for server in found})
-        return dict(held)
-
     def put(self, record: ServerRecord) -> BackendServer | None:
         """Take a registration; returns a server that it replaces."""
         known = self._by_id.get(record.server_id)
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -85,11 +85,7 @@
             self.log,
         )
         self.membership = self._make_membership()
-        self.book = AddressBook(
-            self.membership,
-            settings.longest_keep,
-            self._services_held,
-        )
+        self.book = AddressBook(self.membership, settings.longest_keep)
         self._shares = FleetShares(
             settings.extra_load,
             self._policy,
@@ -215,9 +211,6 @@
                 return mirror.listing()
         return None
 
-    def _services_held(self) -> dict[str, int]:
-        return self.registry.services_held(self.domains.out)
-
     def _candidates(self, service: str) -> list[BackendServer]:
         return usable(self.registry.of_service(service), self.domains.out)
 
--- a/src/daisydyke/_members/_address_book.py
+++ b/src/daisydyke/_members/_address_book.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
-
-from .._adapters._datagrams import Member, Status
+from .._adapters._datagrams import Status
 from .._domain._model import Address
 from ._membership import Membership
 from ._speed import fast
@@ -12,9 +10,6 @@
 # Seconds; callers of a VM that is gone ask again after this time.
 _KEEP_S = 1.0
 _ENOUGH_NEAR = 2
-# Part of the services of the best placed failure domain from which a failure
-# domain counts as one that holds data.
-_HOLDING_PART = 0.5
 _PRESENT = frozenset((Status.ALIVE, Status.JOINING, Status.SUSPECT))
 
 
@@ -22,30 +17,20 @@
     """Addresses of the VMs that take requests, fast and near ones first.
 
     A request to all shards costs so much of a slow VM's time that it is late
-    there; and the fewer VMs send to a server, the more each knows of it. VMs
-    beside the data go before VMs beside the caller, since a request crosses
-    to the data once for each shard and to the caller once.
+    there; and the fewer VMs send to a server, the more each knows of it.
 
     Parameters:
         longest_keep: seconds for which callers keep an answer at most.
-        services_held: returns how many services have a server in each
-            failure domain.
     """
 
-    def __init__(
-        self,
-        membership: Membership,
-        longest_keep: float,
-        services_held: Callable[[], Mapping[str, int]],
-    ) -> None:
+    def __init__(self, membership: Membership, longest_keep: float) -> None:
         """Read the members whenever asked."""
         self._membership = membership
         self._keep = min(_KEEP_S, longest_keep)
-        self._services_held = services_held
 
     def addresses(self, domain: str) -> tuple[list[str], float]:
         """Return addresses for a caller and the seconds to keep them."""
-        members = self._holding(fast(self._membership.addressable()))
+        members = fast(self._membership.addressable())
         near = [one for one in members if one.domain == domain]
         if len(near) >= _ENOUGH_NEAR:
             members = near
@@ -74,10 +59,3 @@
         """
         members = tuple(self._membership.members.values())
         return max(1, len(fast(members)))
-
-    def _holding(self, members: Sequence[Member]) -> Sequence[Member]:
-        """Return the members in failure domains that hold data."""
-        held = self._services_held()
-        bound = max(held.values(), default=0) * _HOLDING_PART
-        found = [one for one in members if held.get(one.domain, 0) >= bound]
-        return found if len(found) >= _ENOUGH_NEAR else members
