--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 RUN := $(VENV)/bin/python
 
-.PHONY: run test lint bench faults slopes check-specs schemas lock
+.PHONY: run test lint bench faults slopes check-specs soak lock
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -17,8 +17,8 @@
 	$(RUN) -m tools.known_red
 
 lint: $(VENV)/.installed
-	$(VENV)/bin/ruff format --check src tests stand_ins bench specs tools
-	$(VENV)/bin/flake8 src tests stand_ins bench specs tools
+	$(VENV)/bin/ruff format --check src tests stand_ins bench soak specs tools
+	$(VENV)/bin/flake8 src tests stand_ins bench soak specs tools
 
 check-specs: $(VENV)/.installed
 	$(RUN) -m specs
@@ -29,6 +29,10 @@
 faults: $(VENV)/.installed
 	$(RUN) -m bench.faults
 
+soak: $(VENV)/.installed
+	$(RUN) -m soak --regressions
+	$(RUN) -m soak --first $(or $(SEED),1) --count $(or $(SEEDS),2)
+
 slopes: $(VENV)/.installed
 	$(RUN) -m bench.slopes
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak of gateway processes on one machine."""
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fault soak: that it notices broken promises."""
