Pass on news of VMs that take requests only

Every stop of a VM that stood by was gossiped, and each of 139 VMs passed it on at once to three others.

Change: only what VMs do that have taken requests since their start is passed on.

--- a/src/daisydyke/_members/_membership.py
+++ b/src/daisydyke/_members/_membership.py
@@ -111,6 +111,7 @@
         self._sequence = 0
         self.standing_by = False
         self._has_news = False
+        self._serving: set[str] = set()
         self.joined = curio.Event()
         self.generation = 0
 
@@ -303,9 +304,14 @@
     def _adopt(self, member: Member) -> None:
         known = self._members.get(member.vm)
         self._members[member.vm] = member
-        # Only what VMs that take work do concerns everybody; on a large fleet
-        # most of the others stand by.
-        if member.status is not Status.JOINING:
+        if member.status is Status.ALIVE:
+            self._serving.add(member.vm)
+        elif member.status is Status.JOINING:
+            self._serving.discard(member.vm)
+        # Only what VMs that have taken work do concerns everybody; on a large
+        # fleet most of the others stand by.
+        concerns_all = member.vm in self._serving
+        if concerns_all:
             self._updates[member.vm] = _Update(member)
         if member.status is Status.SUSPECT:
             self._suspected_at[member.vm] = self._clock.monotonic()
@@ -313,7 +319,7 @@
             self._suspected_at.pop(member.vm, None)
         if known is None or known.status is not member.status:
             self.generation += 1
-            self._has_news = member.status is not Status.JOINING
+            self._has_news = self._has_news or concerns_all
             self._log.record(
                 'member',
                 member=member.vm,
--- a/tests/load/test_large_fleet_standing_by.py
+++ b/tests/load/test_large_fleet_standing_by.py
@@ -180,6 +180,23 @@
 
         self.assertThat(set(run_virtual(_run)), Equals({True}))
 
+    def test_rolling_restart(self) -> None:
+        """VMs that stand by stop without everybody being told."""
+
+        async def _run(clock: VirtualClock, leaving: int) -> int:
+            network, members = await _start(clock)
+            await curio.sleep(TRAFFIC_AFTER_S)
+            before = network.bytes_sent
+            for one in members[FAST : FAST + leaving]:
+                one.leave()
+                await curio.sleep(1)
+            await curio.sleep(SLOW - leaving)
+            return network.bytes_sent - before
+
+        calm = run_virtual(_run, 0)
+        rolling = run_virtual(_run, SLOW // 2)
+        self.assertThat(rolling, LessThan(1.5 * calm))
+
     def test_choice_of_the_fast(self) -> None:
         """Only the fast ones of a list are met by one that may stand by."""
         speeds = [*repeat(2.1, FAST), *repeat(0.36, SLOW)]
