--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -94,7 +94,6 @@
     runs: tuple[Run, ...] = (
         gateway.servers.run_removals,
         partial(gateway.pool.run, gateway.registry.all),
-        gateway.relay.run,
         gateway.membership.run_receiver,
         gateway.membership.run_probes,
         partial(_meet_others, gateway),
@@ -117,6 +116,7 @@
 async def _join(gateway: Gateway) -> None:
     """Take requests once that is wanted and possible."""
     await _stand_by(gateway)
+    await _spawn(gateway, gateway.relay.run)
     for mirror in gateway.mirrors:
         await _spawn(gateway, mirror.run)
     while not gateway.is_informed():
--- a/src/daisydyke/_mirror/_relay.py
+++ b/src/daisydyke/_mirror/_relay.py
@@ -50,6 +50,7 @@
         self._copies = copies
         self._clock = clock
         self._log = log
+        self._following = False
         self._own_version = 0
         self._behind_since: float | None = None
         self._ahead: Member | None = None
@@ -67,6 +68,8 @@
 
     async def differs(self, member: Member, digest: Digest) -> None:
         """Catch up from a member that has been ahead for too long."""
+        if not self._following:
+            return
         now = self._clock.monotonic()
         if self.version != self._own_version:
             self._own_version = self.version
@@ -80,7 +83,11 @@
             await self._wake.set()
 
     async def run(self) -> None:
-        """Catch up whenever that is needed, until cancelled."""
+        """Catch up whenever that is needed, until cancelled.
+
+        A VM that stands by follows nothing and so is behind all others.
+        """
+        self._following = True
         while True:
             await self._wake.wait()
             if self._ahead is not None:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -136,6 +136,21 @@
 
         self.assertThat(run_virtual(_run).calls, HasLength(0))
 
+    def test_standing_by(self) -> None:
+        """A VM that does not follow the store yet asks nobody."""
+
+        async def _run(clock: VirtualClock) -> ScriptedCopies:
+            copies = ScriptedCopies(listing(9, a='2'))
+            relay = World(clock, copies).relay
+            for _ in range(10):
+                await relay.differs(AHEAD, Digest(9, 0))
+                await curio.sleep(GOSSIP_INTERVAL_S)
+            await curio.spawn(relay.run, daemon=True)
+            await curio.sleep(1)
+            return copies
+
+        self.assertThat(run_virtual(_run).calls, HasLength(0))
+
     def test_short_lag_asks_nothing(self) -> None:
         """A member whose watch was quicker is not asked."""
 
