--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 RUN := $(VENV)/bin/python
 
-.PHONY: run test lint bench faults slopes check-specs soak report lock
+.PHONY: run test lint bench faults slopes check-specs schemas soak report lock
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -33,6 +33,9 @@
 	$(RUN) -m soak --regressions
 	$(RUN) -m soak --first $(or $(SEED),1) --count $(or $(SEEDS),2)
 
+schemas: $(VENV)/.installed
+	$(RUN) -m tools.schemas schemas
+
 report: $(VENV)/.installed
 	$(RUN) -m tools.report --output bench/out/report.html
 
