--- a/tools/schemas.py
+++ b/tools/schemas.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from pathlib import Path
+from types import MappingProxyType
 
 import click
 import msgspec
@@ -15,17 +17,20 @@
 from daisydyke._settings._documents import ServiceDocument
 from daisydyke.platform import _settings
 
-MODELS = {
-    'entry-settings': EntrySettings,
-    'gateway-settings': _settings._Settings,  # noqa: SLF001
-    'service': ServiceDocument,
-}
+MODELS: Mapping[str, type] = MappingProxyType(
+    {
+        'entry-settings': EntrySettings,
+        'gateway-settings': _settings._Settings,  # noqa: SLF001
+        'service': ServiceDocument,
+    }
+)
 
 
 def render(name: str) -> str:
     """Return a model's schema as indented JSON."""
     schema = msgspec.json.schema(MODELS[name])
-    return json.dumps(schema, indent=2, sort_keys=True) + '\n'
+    text = json.dumps(schema, indent=2, sort_keys=True)
+    return f'{text}\n'
 
 
 @click.command()
