--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -70,7 +70,7 @@
             self._world.violate(f'{vm.name} outlived its grace time')
             vm.send(signal.SIGKILL)
             await curio.sleep(_RESTART_S)
-        elif code:
+        elif code and not (code == -signal.SIGTERM and vm.is_starting()):
             self._world.violate(f'{vm.name} exited with {code}')
         self._restart(vm)
 
@@ -79,6 +79,7 @@
         if vm is None:
             return
         vm.stopping = True
+        vm.touch()
         vm.send(signal.SIGSTOP)
         await curio.sleep(self._duration())
         vm.send(signal.SIGCONT)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -43,6 +43,7 @@
     Parameters:
         touched_at: monotonic time until which it was harmed; its bounds hold
             again some seconds later.
+        logged: lines in its log when the latest process was started.
     """
 
     name: str
@@ -53,10 +54,13 @@
     process: subprocess.Popen[bytes] | None = None
     touched_at: float = 0
     stopping: bool = False
-    paused: bool = False
+    logged: int = 0
 
     def start(self) -> None:
         """Start the process."""
+        self.logged = 0
+        if self.log.exists():
+            self.logged = len(self.log.read_bytes().splitlines())
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(  # noqa: S603
                 [
@@ -75,6 +79,15 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def is_starting(self) -> bool:
+        """Tell whether the latest process has not begun to listen.
+
+        Until then a signal ends it at once, which harms nobody.
+        """
+        lines = self.log.read_text(errors='replace').splitlines()
+        events = [line for line in lines[self.logged :] if '"start"' in line]
+        return not events
+
     def touch(self) -> None:
         """Note that the VM is harmed now."""
         self.touched_at = time.monotonic()
