--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -29,6 +29,7 @@
 from stand_ins.platform_server import RECORD_BYTES, part_of
 
 _DEADLINE_S = 1.5
+_DEADLINE_MS = '1500'
 _KEEP_S = 1.0
 _GAP_S = 0.05
 _IN_FORCE_S = 3.0
@@ -66,37 +67,40 @@
         await self._refresh()
         if not self._addresses:
             return
-        if self._connection is None:
-            chosen = self._random.choice(self._addresses)
-            self._host = chosen.partition(':')[0]
-            self._connection = HttpConnection(Address(self._host, CALLER_PORT))
+        connection = self._connect()
         request = self._next_request()
         started = time.monotonic()
         self.sent += 1
         try:
             async with curio.timeout_after(_DEADLINE_S):
-                response = await self._connection.request(request)
+                response = await connection.request(request)
         except (DaisydykeError, curio.TaskTimeout) as error:
-            was_open = self._connection.sent
             await self._drop()
-            if was_open:
+            if connection.sent:
                 self._check_lost(request, started, error)
             return
         self._check(request, response, started)
         if response.headers.get('connection') == 'close':
             await self._drop()
 
+    def _connect(self) -> HttpConnection:
+        """Return the kept connection, or a new one to any address."""
+        if self._connection is None:
+            chosen = self._random.choice(self._addresses)
+            self._host = chosen.partition(':')[0]
+            self._connection = HttpConnection(Address(self._host, CALLER_PORT))
+        return self._connection
+
     def _next_request(self) -> HttpRequest:
         target = self._random.choice(_KINDS)
+        number = next(self._requests)
         return HttpRequest(
             'POST' if target.startswith('/one/') else 'GET',
             target,
             b'',
             {
-                'daisydyke-request-id': (
-                    f'c{self._number}-{next(self._requests)}'
-                ),
-                'daisydyke-deadline-ms': str(int(_DEADLINE_S * 1000)),
+                'daisydyke-request-id': f'{self._number}-{number}',
+                'daisydyke-deadline-ms': _DEADLINE_MS,
             },
         )
 
