Ignore SIGHUP until the gateway can handle it

Change: an entry point of its own ignores the signal before the daemon is imported; settings are read after that, so nothing is missed. Left open: the interpreter's own start of some tens of milliseconds.

--- a/soak/_world.py
+++ b/soak/_world.py
@@ -66,7 +66,7 @@
                 [
                     sys.executable,
                     '-m',
-                    'daisydyke._cli._gateway',
+                    'daisydyke._cli._gateway_main',
                     str(self.settings),
                 ],
                 stdout=log,
