Tell everybody that a VM which took requests starts again

Cause, found by reading: since VMs that are joining are not gossiped, a VM that was killed and started again within the time of a suspicion stayed ALIVE in the others' answers until each had probed it itself.

Change: what a VM does that has taken requests until now is passed on as well.

--- a/src/daisydyke/_members/_membership.py
+++ b/src/daisydyke/_members/_membership.py
@@ -304,13 +304,14 @@
     def _adopt(self, member: Member) -> None:
         known = self._members.get(member.vm)
         self._members[member.vm] = member
-        if member.status is Status.ALIVE:
+        # Only what VMs do that take work, or have taken it until now, concerns
+        # everybody; on a large fleet most of the others stand by.
+        serves = member.status is Status.ALIVE
+        concerns_all = serves or member.vm in self._serving
+        if serves:
             self._serving.add(member.vm)
         elif member.status is Status.JOINING:
             self._serving.discard(member.vm)
-        # Only what VMs that have taken work do concerns everybody; on a large
-        # fleet most of the others stand by.
-        concerns_all = member.vm in self._serving
         if concerns_all:
             self._updates[member.vm] = _Update(member)
         if member.status is Status.SUSPECT:
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import curio
+import msgspec
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
@@ -70,6 +71,31 @@
 
         run_virtual(scenario)
 
+    def test_restart_is_told(self) -> None:
+        """A VM that starts again is named by nobody until it is ready."""
+
+        async def scenario(clock: VirtualClock) -> None:
+            world = World(clock)
+            nodes = await start_nodes(world, 12)
+            await curio.sleep(5)
+            known = nodes[1].membership.members['entry1']
+            restarted = msgspec.structs.replace(
+                known,
+                start=known.start + 1,
+                incarnation=known.incarnation + 1,
+                status=Status.JOINING,
+            )
+            nodes[0].membership._merge(restarted)
+            nodes[1].membership._me = restarted
+            nodes[1].membership._members['entry1'] = restarted
+            took = await until(
+                lambda: all('entry1' not in names(node) for node in nodes),
+                world,
+            )
+            self.assertThat(took, LessThan(2))
+
+        run_virtual(scenario)
+
     def test_false_suspicion_is_refuted(self) -> None:
         """A VM cut off from one other is not held to be dead."""
 
