Copies from members: ask once, postpone no removal, apply in order

Cause, found by reading, each with a test seen failing: - a VM that listed a kind after a deletion counted fewer changes than its members for good, and asked one of them for all kinds every 1.5 s (19 calls in 30 s of virtual time; now 1); - each further copy without a server put its removal off again while the store was lost (after 2.8 s still there); - a copy that came while a watch's change was being applied was overwritten by that older change.

Change: the version that a member was read at counts as reached; a removal keeps its first due time; listings and changes reach the sink under one lock.

--- a/src/daisydyke/_mirror/_mirror.py
+++ b/src/daisydyke/_mirror/_mirror.py
@@ -56,6 +56,8 @@
         self._pace = pace
         self._objects: dict[str, StoredObject] = {}
         self._history_gone = False
+        # Changes and whole listings reach the sink one after the other.
+        self._sink_lock = curio.Lock()
         self.version = 0
         self.changed_at = 0
         self.listed = curio.Event()
@@ -83,12 +85,13 @@
         Parameters:
             source: whom the listing comes from, for the log.
         """
-        if listing.version <= self.version:
-            return False
-        self._objects = {one.name: one for one in listing.objects}
-        self.version = listing.version
-        self._note_changes(listing)
-        await self._sink.replace(listing.objects)
+        async with self._sink_lock:
+            if listing.version <= self.version:
+                return False
+            self._objects = {one.name: one for one in listing.objects}
+            self.version = listing.version
+            self._note_changes(listing)
+            await self._sink.replace(listing.objects)
         self._log.record(
             'listed',
             kind=self._kind,
@@ -117,9 +120,8 @@
         )
         if isinstance(outcome, Success):
             self._health.succeeded()
-            # A member's listing may have gone ahead of the watch.
-            if after == self.version:
-                await self._apply(outcome.unwrap())
+            await self._apply(outcome.unwrap(), after)
+            await curio.sleep(self._pace)
             return
         error = outcome.failure()
         if isinstance(error, HistoryGoneError):
@@ -128,17 +130,23 @@
             return
         await self._health.failed(error)
 
-    async def _apply(self, listing: Listing) -> None:
-        self._note_changes(listing)
-        for stored in listing.objects:
-            if stored.text is None:
-                self._objects.pop(stored.name, None)
-            else:
-                self._objects[stored.name] = stored
-            await self._sink.change(stored)
-        self.version = max(self.version, listing.version)
-        await curio.sleep(self._pace)
+    async def _apply(self, listing: Listing, after: int) -> None:
+        async with self._sink_lock:
+            # A member's listing may have gone ahead of the watch.
+            if after != self.version:
+                return
+            self._note_changes(listing)
+            for stored in listing.objects:
+                await self._change(stored)
+            self.version = max(self.version, listing.version)
+
+    async def _change(self, stored: StoredObject) -> None:
+        if stored.text is None:
+            self._objects.pop(stored.name, None)
+        else:
+            self._objects[stored.name] = stored
+        await self._sink.change(stored)
 
     def _note_changes(self, listing: Listing) -> None:
-        versions = (stored.version for stored in listing.objects)
-        self.changed_at = max(self.changed_at, *versions, 0)
+        latest = max((one.version for one in listing.objects), default=0)
+        self.changed_at = max(self.changed_at, latest)
--- a/src/daisydyke/_mirror/_relay.py
+++ b/src/daisydyke/_mirror/_relay.py
@@ -52,8 +52,9 @@
         self._log = log
         self._following = False
         self._own_version = 0
+        self._reached = 0
         self._behind_since: float | None = None
-        self._ahead: Member | None = None
+        self._ahead: tuple[Member, int] | None = None
         self._wake = curio.Event()
 
     @property
@@ -74,12 +75,12 @@
         if self.version != self._own_version:
             self._own_version = self.version
             self._behind_since = None
-        if digest.version <= self._own_version:
+        if digest.version <= max(self._own_version, self._reached):
             return
         if self._behind_since is None:
             self._behind_since = now
         if now - self._behind_since >= _NORMAL_LAG_S:
-            self._ahead = member
+            self._ahead = (member, digest.version)
             await self._wake.set()
 
     async def run(self) -> None:
@@ -91,11 +92,16 @@
         while True:
             await self._wake.wait()
             if self._ahead is not None:
-                await self._catch_up(self._ahead)
+                await self._catch_up(*self._ahead)
             self._behind_since = None
             self._wake.clear()
 
-    async def _catch_up(self, member: Member) -> None:
+    async def _catch_up(self, member: Member, version: int) -> None:
+        """Read all kinds from a member that says it has this version.
+
+        A member may count a deletion that this VM never saw, since it listed
+        the kind later; then the member has nothing newer.
+        """
         address = Address(member.host, member.peer_port)
         for mirror in self._mirrors:
             copied = await self._copies.fetch(
@@ -112,3 +118,4 @@
                 )
                 return
             await mirror.take(copied.unwrap(), member.vm)
+        self._reached = max(self._reached, version)
--- a/src/daisydyke/_mirror/_sinks.py
+++ b/src/daisydyke/_mirror/_sinks.py
@@ -159,7 +159,7 @@
         if self._health.lost:
             # Learned from a member, which may itself have just regained the
             # store.
-            self._removals[server_id] = now + _REGISTER_AGAIN_S
+            self._removals.setdefault(server_id, now + _REGISTER_AGAIN_S)
         elif regained is not None and now < regained + _REGISTER_AGAIN_S:
             self._removals[server_id] = regained + _REGISTER_AGAIN_S
         else:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -162,6 +162,41 @@
 
         self.assertThat(run_virtual(_run).calls, HasLength(0))
 
+    def test_nothing_newer(self) -> None:
+        """A member that turns out to know no more is asked once."""
+
+        async def _run(clock: VirtualClock) -> ScriptedCopies:
+            copies = ScriptedCopies(Listing(7, ()))
+            world = World(clock, copies, listing(7, a='1'))
+            await world.hear(9, 30)
+            return copies
+
+        self.assertThat(run_virtual(_run).calls, HasLength(1))
+
+    def test_copy_during_a_change(self) -> None:
+        """A copy taken while a change is applied stays in force."""
+
+        async def _run(clock: VirtualClock) -> World:
+            world = World(clock, ScriptedCopies(Listing(0, ())))
+            world.mirror = KindMirror(
+                KIND,
+                ScriptedStore(listing(7, a='1'), listing(8, a='late')),
+                SlowObjects(world.sink),
+                world.health,
+                world.log,
+                0.1,
+            )
+            await curio.spawn(world.mirror.run, daemon=True)
+            await curio.sleep(0.5)
+            await world.mirror.take(listing(9, a='2'), 'ahead')
+            await curio.sleep(3)
+            return world
+
+        self.assertThat(
+            run_virtual(_run).sink.objects['a'].text,
+            Equals(b'2'),
+        )
+
     def test_never_goes_back(self) -> None:
         """A copy older than what is known changes nothing."""
 
@@ -205,6 +240,23 @@
         self.assertThat(run_virtual(_run).sink.objects['a'].text, Equals(b'2'))
 
 
+class SlowObjects:
+    """Sink that takes a second for each change."""
+
+    def __init__(self, sink: KeptObjects) -> None:
+        """Keep the sink that takes the changes."""
+        self._sink = sink
+
+    async def replace(self, objects: tuple[StoredObject, ...]) -> None:
+        """Take all objects at once."""
+        await self._sink.replace(objects)
+
+    async def change(self, stored: StoredObject) -> None:
+        """Take one object late."""
+        await curio.sleep(1)
+        await self._sink.change(stored)
+
+
 class SlowWatch(ScriptedStore):
     """Store whose watches answer after a second."""
 
@@ -233,6 +285,21 @@
 
         self.assertThat(run_virtual(_run), Equals([{'i-1'}, set()]))
 
+    def test_repeated_copies(self) -> None:
+        """Copies that follow one another put off no removal."""
+
+        async def _run(clock: VirtualClock) -> set[str]:
+            world = _sink_world(clock)
+            await world.sink.replace((_stored('i-1'),))
+            await world.health.failed(PlatformUnavailableError('status 503'))
+            await curio.spawn(world.sink.run_removals, daemon=True)
+            for _ in range(4):
+                await world.sink.replace(())
+                await curio.sleep(0.7)
+            return world.registry.identifiers()
+
+        self.assertThat(run_virtual(_run), Equals(set()))
+
 
 def _stored(name: str) -> StoredObject:
     return StoredObject('servers', name, 1, b'x')
