Split the gate, ownership, the fan-out and membership along their jobs

ServerMonitor polls a server's state, LeaseWriter writes leases, OwnerPreference ranks owners, QueryLog writes a query's choices, UpdateBuffer and PendingAcks hold what gossip passes on and waits for.

--- a/src/daisydyke/_limits/_gate.py
+++ b/src/daisydyke/_limits/_gate.py
@@ -26,14 +26,11 @@
     SubResult,
     SubResultSink,
 )
+from ._server_monitor import STATE_TIMEOUT_S, ServerMonitor
 
 _SMOOTHING = 0.1
 _INITIAL_SERVICE_TIME_S = 0.005
-_STATE_INTERVAL_S = 1.0
-_BUSY_STATE_INTERVAL_S = 3.0
-_STATE_TIMEOUT_S = 0.5
 _ALLOWANCE_POLL_S = 0.05
-_LOST_AFTER_POLLS = 2
 _CONFIRM_INTERVAL_S = 0.25
 _PATIENT_SHARE = 0.8
 _MINIMUM_SPARE_S = 0.0001
@@ -90,14 +87,15 @@
         self._tasks: list[curio.Task] = []
         self._service_time = _INITIAL_SERVICE_TIME_S
         self._closing = False
-        self._missed_polls = 0
         self._unconfirmed = 0
-        self._answered_at = float('-inf')
-        self._instance = known.instance if known and warm else ''
-        self._instances = {self._instance} if warm else set()
-        self._said = ServerState('', ServerPhase.LOST)
-        self._poll_now = curio.Event()
-        self._poll_connection = connect()
+        self._monitor = ServerMonitor(
+            spec.server_id,
+            self._ramp,
+            connect(),
+            clock,
+            log,
+            known,
+        )
         self.peak = 0
 
     @property
@@ -113,7 +111,7 @@
     @property
     def state(self) -> ServerState:
         """State of the server for routing, from this VM's evidence."""
-        return ServerState(self._instance, self._phase(), self._said.indexes)
+        return self._monitor.state
 
     @property
     def in_flight(self) -> int:
@@ -122,12 +120,12 @@
 
     async def start(self) -> None:
         """Start one task for each connection and one for the state poll."""
-        await self._poll_once(self._poll_connection)
+        await self._monitor.confirm()
         for position in range(self._slots):
             self._tasks.append(
                 await curio.spawn(self._work(position), daemon=True),
             )
-        self._tasks.append(await curio.spawn(self._poll(), daemon=True))
+        self._tasks.append(await curio.spawn(self._monitor.run, daemon=True))
 
     async def stop(self) -> None:
         """Refuse what waits, let what runs end, close the connections."""
@@ -159,17 +157,7 @@
 
     def reset_ramp(self, reason: str) -> None:
         """Treat the server as cold from now on."""
-        self._ramp.reset()
-        self._log.record('ramp_reset', server=self.server_id, reason=reason)
-
-    def _phase(self) -> ServerPhase:
-        if self._said.phase is ServerPhase.DRAINING:
-            return ServerPhase.DRAINING
-        if self._missed_polls >= _LOST_AFTER_POLLS:
-            return ServerPhase.LOST
-        if not self._ramp.warm:
-            return ServerPhase.COLD
-        return ServerPhase.WARM
+        self._monitor.reset_ramp(reason)
 
     def _refusal(self, request: SubRequest) -> Failure | None:
         self._ramp.record_demand()
@@ -271,7 +259,7 @@
         self._unconfirmed += 1
         try:
             while not isinstance(
-                await connection.state(_STATE_TIMEOUT_S),
+                await connection.state(STATE_TIMEOUT_S),
                 Success,
             ):
                 if self._unconfirmed >= self._allowance():
@@ -284,9 +272,7 @@
         if isinstance(outcome, Success):
             change = seconds - self._service_time
             self._service_time += _SMOOTHING * change
-            self._note_instance(outcome.unwrap().instance)
-            self._missed_polls = 0
-            self._answered_at = self._clock.monotonic()
+            self._monitor.record_answer(outcome.unwrap().instance)
             self._ramp.record_answer()
             return
         reason = outcome.failure().reason
@@ -300,16 +286,7 @@
                 rate=self._ramp.rate,
             )
         if reason is not Failure.LATE:
-            await self._poll_now.set()
-
-    def _note_instance(self, instance: str) -> None:
-        # The state endpoint lags: an instance seen before is no news.
-        if instance in self._instances:
-            return
-        if self._instances:
-            self.reset_ramp('new_instance')
-        self._instances.add(instance)
-        self._instance = instance
+            await self._monitor.poll_soon()
 
     async def _refuse_all(self, reason: Failure = Failure.FENCED) -> None:
         """Refuse what waits, so that it can go to another server at once."""
@@ -322,37 +299,6 @@
     async def _deliver(self, waiting: _Waiting, outcome: SubResult) -> None:
         await waiting.sink.deliver(waiting.request.sub_id, outcome)
 
-    async def _poll(self) -> None:
-        try:
-            while True:
-                self._poll_now.clear()
-                await curio.ignore_after(
-                    self._poll_interval(),
-                    self._poll_now.wait(),
-                )
-                await self._poll_once(self._poll_connection)
-        finally:
-            await self._poll_connection.close()
-
-    def _poll_interval(self) -> float:
-        # While answers come, they say more than the state endpoint.
-        silent = self._clock.monotonic() - self._answered_at
-        if silent < _BUSY_STATE_INTERVAL_S:
-            return _BUSY_STATE_INTERVAL_S
-        return _STATE_INTERVAL_S
-
-    async def _poll_once(self, connection: ServerConnection) -> None:
-        outcome = await connection.state(_STATE_TIMEOUT_S)
-        if not isinstance(outcome, Success):
-            self._missed_polls += 1
-            if not self._tasks:
-                # Nothing confirms that it is the instance known as warm.
-                self._ramp.reset()
-            return
-        self._missed_polls = 0
-        self._said = outcome.unwrap()
-        self._note_instance(self._said.instance)
-
 
 def _is_silent(outcome: SubResult) -> bool:
     failure = outcome.failure()
--- a/src/daisydyke/_limits/_ownership.py
+++ b/src/daisydyke/_limits/_ownership.py
@@ -11,34 +11,23 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from uuid import uuid4
 
 import curio
-import msgspec
-from returns.result import Success
-
-from .._domain._model import (
-    Holder,
-    Lease,
-    ServerSpec,
-    ServiceSpec,
-    floor_slots,
-)
-from .._domain._rendezvous import rank
+
+from .._domain._model import Lease, ServerSpec, ServiceSpec, floor_slots
 from .._members._membership import Membership
 from .._operations._configuration import Configuration
-from .._ports import Clock, DecisionLog, Platform, StoredObject
+from .._ports import Clock, DecisionLog, Platform
 from .._settings._daemon import LeaseSettings
-from .._settings._documents import HolderModel, LeaseDocument
-from ..exceptions import VersionConflictError
 from ._fencing import Fencing
 from ._gate import Allowance, ServerGate
+from ._lease_writer import RETRY_S, LeaseWriter
+from ._preference import OwnerPreference
 from ._session import Session
 
 _RECONCILE_S = 0.25
 _CHECKS_PER_RECONCILE = 10
 _SETTLE_S = 3.0
-_RETRY_S = 0.5
 _REBALANCE_INTERVAL_S = 1.0
 
 GateFactory = Callable[[ServiceSpec, ServerSpec, Allowance], ServerGate]
@@ -65,6 +54,15 @@
         """Own nothing yet."""
         self._ports = ports
         self._make_gate = make_gate
+        self._writer = LeaseWriter(
+            ports.platform,
+            ports.configuration,
+            ports.log,
+        )
+        self._preference = OwnerPreference(
+            ports.configuration,
+            ports.membership,
+        )
         self._started_at = ports.clock.monotonic()
         self._released: dict[str, int] = {}
         self._rebalanced_at = self._started_at
@@ -223,9 +221,9 @@
         session = self._ports.session
         if age < _SETTLE_S or not session.valid():
             return
-        if self._preferred(spec) == session.holder.vm:
+        if self._preference.preferred(spec) == session.holder.vm:
             lease = Lease(spec.server_id, session.holder, session.holder, 0)
-            await self._write(lease, 'claim')
+            await self._writer.write(lease, 'claim')
 
     async def _renew_holder(self, lease: Lease) -> None:
         # The lease is of an earlier process or a fenced session of this VM.
@@ -234,14 +232,14 @@
         holder = self._ports.session.holder
         floor = holder if lease.floor.vm == holder.vm else lease.floor
         renewed = Lease(lease.server_id, holder, floor, lease.version)
-        await self._write(renewed, 'reclaim')
+        await self._writer.write(renewed, 'reclaim')
 
     async def _consider_takeover(self, spec: ServerSpec, lease: Lease) -> None:
         membership = self._ports.membership
         session = self._ports.session
         if not membership.is_dead(lease.holder.vm) or not session.valid():
             return
-        if self._preferred(spec) != session.holder.vm:
+        if self._preference.preferred(spec) != session.holder.vm:
             return
         if not await self._ports.fencing.is_fenced(lease.holder):
             return
@@ -249,13 +247,13 @@
         if self._ports.fencing.has_ended(floor):
             floor = session.holder
         taken = Lease(lease.server_id, session.holder, floor, lease.version)
-        await self._write(taken, 'takeover')
+        await self._writer.write(taken, 'takeover')
 
     async def _consider_floor(self, lease: Lease) -> None:
         if self._ports.fencing.has_ended(lease.floor):
             holder = self._ports.session.holder
             whole = Lease(lease.server_id, holder, holder, lease.version)
-            await self._write(whole, 'take_floor')
+            await self._writer.write(whole, 'take_floor')
 
     async def _give_up_floor(self, spec: ServerSpec, lease: Lease) -> None:
         self._released[spec.server_id] = lease.version
@@ -267,7 +265,7 @@
             lease.version,
         )
         await curio.spawn(
-            self._write_until_known(given, 'give_up_floor'),
+            self._writer.write_until_known(given, 'give_up_floor'),
             daemon=True,
         )
 
@@ -279,79 +277,18 @@
             return
         if not self._ports.session.valid():
             return
-        if self._preferred(spec) != self._ports.session.holder.vm:
+        if self._preference.preferred(spec) != self._ports.session.holder.vm:
             self._rebalanced_at = now
             await self._hand_over(spec, lease)
 
     async def _hand_over(self, spec: ServerSpec, lease: Lease) -> None:
-        successor = self._successor(spec)
+        holder = self._ports.session.holder
+        successor = self._preference.successor(spec, holder)
         if successor is None:
             return
         self._released[spec.server_id] = lease.version
         await self._drop_gate(spec.server_id)
         while not self._settled():
-            await curio.sleep(_RETRY_S)
+            await curio.sleep(RETRY_S)
         given = Lease(lease.server_id, successor, successor, lease.version)
-        await self._write_until_known(given, 'hand_over')
-
-    def _successor(self, spec: ServerSpec) -> Holder | None:
-        vm = self._preferred(spec)
-        member = self._ports.membership.members.get(vm or '')
-        if member is None or vm == self._ports.session.holder.vm:
-            return None
-        return Holder(member.vm, member.start)
-
-    def _preferred(self, spec: ServerSpec) -> str | None:
-        configuration = self._ports.configuration
-        members = [
-            member
-            for member in self._ports.membership.alive()
-            if member.vm not in configuration.out_vms
-        ]
-        usable = [
-            member
-            for member in members
-            if member.domain not in configuration.out_domains
-        ]
-        near = [member for member in usable if member.domain == spec.domain]
-        names = [member.vm for member in near or usable]
-        ranked = rank(spec.server_id, names)
-        return ranked[0] if ranked else None
-
-    async def _write(self, lease: Lease, reason: str) -> bool | None:
-        """Write a lease; tells whether it was written, None if not known."""
-        ports = self._ports
-        document = LeaseDocument(
-            HolderModel(lease.holder.vm, lease.holder.start),
-            HolderModel(lease.floor.vm, lease.floor.start),
-            uuid4().hex,
-        )
-        text = msgspec.json.encode(document)
-        outcome = await ports.platform.write(
-            'lease',
-            lease.server_id,
-            text,
-            lease.version,
-        )
-        ports.log.record(
-            'placement',
-            server=lease.server_id,
-            reason=reason,
-            holder=lease.holder.vm,
-            floor=lease.floor.vm,
-            written=isinstance(outcome, Success),
-        )
-        if isinstance(outcome, Success):
-            version = outcome.unwrap()
-            stored = StoredObject('lease', lease.server_id, version, text)
-            ports.configuration.apply([stored])
-            return True
-        if isinstance(outcome.failure(), VersionConflictError):
-            return False
-        return None
-
-    async def _write_until_known(self, lease: Lease, reason: str) -> None:
-        # While it is not known whether the server was given away, it must
-        # not be used; a repeated conditional write settles it.
-        while await self._write(lease, reason) is None:
-            await curio.sleep(_RETRY_S)
+        await self._writer.write_until_known(given, 'hand_over')
--- a/src/daisydyke/_members/_address_book.py
+++ b/src/daisydyke/_members/_address_book.py
@@ -5,7 +5,7 @@
 from .._adapters._datagrams import Status
 from .._domain._model import Address
 from ._membership import Membership
-from ._speed import fast
+from ._speed import select_fast
 
 # Seconds; callers of a VM that is gone ask again after this time.
 _KEEP_S = 1.0
@@ -30,7 +30,7 @@
 
     def addresses(self, domain: str) -> tuple[list[str], float]:
         """Return addresses for a caller and the seconds to keep them."""
-        members = fast(self._membership.addressable())
+        members = select_fast(self._membership.addressable())
         near = [one for one in members if one.domain == domain]
         if len(near) >= _ENOUGH_NEAR:
             members = near
@@ -49,7 +49,7 @@
             for member in self._membership.members.values()
             if member.status in _PRESENT
         ]
-        return self._membership.me in fast(present)
+        return self._membership.me in select_fast(present)
 
     def sender_count(self) -> int:
         """Return how many VMs share what servers accept.
@@ -58,4 +58,4 @@
         notices.
         """
         members = tuple(self._membership.members.values())
-        return max(1, len(fast(members)))
+        return max(1, len(select_fast(members)))
--- a/src/daisydyke/_members/_membership.py
+++ b/src/daisydyke/_members/_membership.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-import math
 import random
-from dataclasses import dataclass
 from itertools import count
 from typing import Protocol
 
@@ -26,19 +24,18 @@
     Status,
 )
 from .._ports import Clock, DecisionLog
-from ._speed import fast
+from ._pending_acks import PendingAcks
+from ._speed import select_fast
+from ._updates import UpdateBuffer
 
 _PERIOD_S = 0.5
 _ACK_TIMEOUT_S = 0.15
 _INDIRECT_PROBES = 2
 _SUSPICION_S = 2.0
-_UPDATES_PER_DATAGRAM = 6
-_RETRANSMIT_FACTOR = 4
-# Probes in one period of this many only.
+# A VM that stands by probes once in so many periods.
 _STAND_BY_PERIODS = 3
-# VMs that news is passed on to at once.
+# Members that a change is passed on to at once.
 _SPREAD_TO = 3
-_MAXIMUM_PENDING_ACKS = 64
 
 
 class Datagrams(Protocol):
@@ -70,12 +67,6 @@
         """Note a member whose digest differs."""
 
 
-@dataclass(slots=True)
-class _Update:
-    member: Member
-    transmissions: int = 0
-
-
 class Membership:
     """The members that this VM knows, itself included.
 
@@ -104,11 +95,10 @@
         self._log = log
         self._members: dict[str, Member] = {me.vm: me}
         self._suspected_at: dict[str, float] = {}
-        self._updates: dict[str, _Update] = {}
-        self._acks: dict[int, curio.Event] = {}
+        self._updates = UpdateBuffer()
+        self._acks = PendingAcks()
         self._relays: dict[int, tuple[str, int]] = {}
         self._order: list[str] = []
-        self._sequence = 0
         self.standing_by = False
         self._has_news = False
         self._serving: set[str] = set()
@@ -176,15 +166,9 @@
 
     async def ping(self, host: str) -> int:
         """Ping a host; returns the sequence number of its answer."""
-        self._sequence += 1
-        sequence = self._sequence
-        self._acks[sequence] = curio.Event()
-        if len(self._acks) > _MAXIMUM_PENDING_ACKS:
-            self._acks.pop(next(iter(self._acks)))
-        await self._datagrams.send(
-            host,
-            Ping(sequence, self._me, self._my_digest(), self._take_updates()),
-        )
+        sequence = self._acks.add()
+        ping = Ping(sequence, self._me, self._my_digest(), self._take_updates())
+        await self._datagrams.send(host, ping)
         return sequence
 
     def _is_due(self, period: int) -> bool:
@@ -207,14 +191,14 @@
                 return member
         others = [one for one in self._members.values() if one != self._me]
         if self.standing_by:
-            others = list(fast(others))
+            others = list(select_fast(others))
         self._order = [member.vm for member in others]
         random.shuffle(self._order)
         return None
 
     async def _probe(self, target: Member) -> None:
         sequence = await self.ping(target.host)
-        if await self._acknowledged(sequence, _ACK_TIMEOUT_S):
+        if await self._acks.wait(sequence, _ACK_TIMEOUT_S):
             return
         helpers = [
             member
@@ -225,16 +209,9 @@
         for helper in random.sample(helpers, asked):
             request = PingRequest(sequence, self._me, target.host)
             await self._datagrams.send(helper.host, request)
-        if not await self._acknowledged(sequence, _ACK_TIMEOUT_S):
+        if not await self._acks.wait(sequence, _ACK_TIMEOUT_S):
             self._suspect(target)
 
-    async def _acknowledged(self, sequence: int, timeout: float) -> bool:
-        event = self._acks.get(sequence)
-        if event is None:
-            return False
-        await curio.ignore_after(timeout, event.wait())
-        return event.is_set()
-
     async def _handle(self, host: str, datagram: Datagram) -> None:
         self._hear_from(datagram.sender)
         if isinstance(datagram, PingRequest):
@@ -271,9 +248,7 @@
         await self._datagrams.send(host, ack)
 
     async def _receive_ack(self, ack: Ack) -> None:
-        event = self._acks.get(ack.sequence)
-        if event is not None:
-            await event.set()
+        await self._acks.acknowledge(ack.sequence)
         relay = self._relays.pop(ack.sequence, None)
         if relay is not None:
             await self._acknowledge(*relay)
@@ -284,7 +259,7 @@
             # It may be a tombstone's new process that does not know of it.
             self._merge(sender)
             if known is not None and known.incarnation >= sender.incarnation:
-                self._updates[known.vm] = _Update(known)
+                self._updates.put(known)
             return
         self._merge(sender)
 
@@ -313,7 +288,7 @@
         elif member.status is Status.JOINING:
             self._serving.discard(member.vm)
         if concerns_all:
-            self._updates[member.vm] = _Update(member)
+            self._updates.put(member)
         if member.status is Status.SUSPECT:
             self._suspected_at[member.vm] = self._clock.monotonic()
         else:
@@ -341,18 +316,7 @@
                 self._adopt(msgspec.structs.replace(known, status=Status.DEAD))
 
     def _take_updates(self) -> list[Member]:
-        limit = _RETRANSMIT_FACTOR * math.ceil(
-            math.log2(len(self._members) + 1),
-        )
-        fresh = sorted(
-            self._updates.values(),
-            key=lambda update: update.transmissions,
-        )[:_UPDATES_PER_DATAGRAM]
-        for update in fresh:
-            update.transmissions += 1
-            if update.transmissions >= limit:
-                self._updates.pop(update.member.vm)
-        return [one.member for one in fresh]
+        return self._updates.take(len(self._members))
 
     def _my_digest(self) -> Digest:
         return Digest(self._configuration.version, self._configuration.digest)
--- a/src/daisydyke/_members/_seeds.py
+++ b/src/daisydyke/_members/_seeds.py
@@ -10,7 +10,7 @@
 from .._adapters._datagrams import Status
 from .._ports import Platform, VmRecord
 from ._membership import Membership
-from ._speed import fast
+from ._speed import select_fast
 
 _INTERVAL_S = 5.0
 _STAND_BY_INTERVAL_S = 20.0
@@ -68,7 +68,7 @@
         """
         if self._membership.me.status is not Status.JOINING:
             return [record.address for record in records]
-        wanted = {record.address for record in fast(records)}
+        wanted = {record.address for record in select_fast(records)}
         others = [
             record.address for record in records if record.address not in wanted
         ]
--- a/src/daisydyke/_members/_speed.py
+++ b/src/daisydyke/_members/_speed.py
@@ -21,7 +21,7 @@
 _VmT = TypeVar('_VmT', bound=HasSpeed)
 
 
-def fast(vms: Sequence[_VmT]) -> Sequence[_VmT]:
+def select_fast(vms: Sequence[_VmT]) -> Sequence[_VmT]:
     """Return the fast ones of some VMs, or all where those are too few."""
     highest = max((one.speed for one in vms), default=0)
     bound = highest * _FAST_PART
--- a/src/daisydyke/_queries/_fan_out.py
+++ b/src/daisydyke/_queries/_fan_out.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 from itertools import count
 
@@ -37,6 +36,7 @@
     Timetable,
     report,
 )
+from ._query_log import QueryLog
 from ._replicas import Replicas
 
 _MAXIMUM_ATTEMPTS = 6
@@ -88,6 +88,7 @@
         self._results = ResultQueue()
         self._progress = [Progress(segment) for segment in plan.segments]
         self._by_id: dict[int, tuple[Progress, Attempt]] = {}
+        self._log = QueryLog(ports.log, context)
         self._hedges = Timetable()
         self._retries = Timetable()
         self._open = len(self._progress)
@@ -248,7 +249,7 @@
             return
         if not self._state.budget.allows_hedge:
             # Other queries add to the budget meanwhile.
-            self._log_refused_hedge(progress)
+            self._log.record_refused_hedge(progress)
             self._hedges.add(self._now() + _HEDGE_RETRY_S, progress)
             return
         tried = {one.request.server_id for one in progress.attempts}
@@ -274,7 +275,7 @@
             now,
         )
         await self._submit(progress, chosen, patient=patient)
-        self._log_choice(progress, candidates, chosen, reason)
+        self._log.record_choice(progress, candidates, chosen, reason)
 
     async def _submit(
         self,
@@ -313,41 +314,3 @@
     def _time_to_restart(self) -> bool:
         remaining = self._context.deadline - self._now()
         return remaining > _RESTART_MEDIANS * self._state.latency.median
-
-    def _log_refused_hedge(self, progress: Progress) -> None:
-        if progress.hedge_refused:
-            return
-        progress.hedge_refused = True
-        self._ports.log.record(
-            'hedge_refused',
-            request_id=self._context.request_id,
-            start=progress.segment.keys.start,
-            end=progress.segment.keys.end,
-        )
-
-    def _log_choice(
-        self,
-        progress: Progress,
-        candidates: Sequence[Candidate],
-        chosen: Candidate,
-        reason: str,
-    ) -> None:
-        self._ports.log.record(
-            'route',
-            request_id=self._context.request_id,
-            snapshot=self._context.snapshot,
-            start=progress.segment.keys.start,
-            end=progress.segment.keys.end,
-            reason=reason,
-            server=chosen.server_id,
-            candidates=[_evidence_of(one) for one in candidates],
-        )
-
-
-def _evidence_of(candidate: Candidate) -> dict[str, object]:
-    return {
-        'server': candidate.server_id,
-        'phase': candidate.phase,
-        'latency_ms': round(candidate.evidence.latency * 1000, 2),
-        'outstanding': candidate.evidence.outstanding,
-    }
--- a/tests/load/test_large_fleet_standing_by.py
+++ b/tests/load/test_large_fleet_standing_by.py
@@ -14,7 +14,7 @@
 from daisydyke._adapters._datagrams import Datagram, Digest, Member, Status
 from daisydyke._members._membership import Membership
 from daisydyke._members._seeds import Seeds
-from daisydyke._members._speed import fast
+from daisydyke._members._speed import select_fast
 from daisydyke._ports import VmRecord
 from daisydyke.exceptions import PlatformError
 from tests.fakes import ListLog
@@ -201,4 +201,4 @@
         """Only the fast ones of a list are met by one that may stand by."""
         speeds = [*repeat(2.1, FAST), *repeat(0.36, SLOW)]
         records = [VmRecord('v', 'h', False, speed) for speed in speeds]
-        self.assertThat(fast(records), HasLength(FAST))
+        self.assertThat(select_fast(records), HasLength(FAST))
