--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -46,12 +46,9 @@
                 await curio.sleep(pause)
 
     async def _kill(self) -> None:
-        vm = self._running_vm()
+        vm = self._strike(signal.SIGKILL)
         if vm is None:
             return
-        vm.stopping = True
-        vm.touch()
-        vm.send(signal.SIGKILL)
         await curio.sleep(_RESTART_S)
         self._restart(vm)
 
@@ -75,12 +72,9 @@
         self._restart(vm)
 
     async def _pause(self) -> None:
-        vm = self._running_vm()
+        vm = self._strike(signal.SIGSTOP)
         if vm is None:
             return
-        vm.stopping = True
-        vm.touch()
-        vm.send(signal.SIGSTOP)
         await curio.sleep(self._duration())
         vm.send(signal.SIGCONT)
         vm.touch()
@@ -166,6 +160,15 @@
             return None
         return self._random.choice(vms)
 
+    def _strike(self, number: signal.Signals) -> Vm | None:
+        """Send a VM a signal that it cannot handle."""
+        vm = self._running_vm()
+        if vm is not None:
+            vm.stopping = True
+            vm.touch()
+            vm.send(number)
+        return vm
+
     def _restart(self, vm: Vm) -> None:
         vm.start()
         vm.touch()
--- a/src/daisydyke/_cli/_entry.py
+++ b/src/daisydyke/_cli/_entry.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import signal
-import sys
 from functools import partial
 from pathlib import Path
 
 import click
 import curio
-from returns.result import Success
 
 from .._adapters._frames import FrameStream
 from .._adapters._signals import SignalStream
@@ -17,6 +15,7 @@
 from .._domain._model import Address
 from .._members._seeds import Seeds
 from .._settings._daemon import EntrySettings, load_entry_settings
+from ._settings_option import check_settings_option, unwrap_settings
 from ._tasks import Run, supervise
 from ._wiring import Entry, open_channel, wire_entry
 
@@ -27,26 +26,16 @@
 _HAND_OVER_TIMEOUT_S = 10.0
 _BACKLOG = 512
 _DRAIN_POLL_S = 0.01
-_EXIT_INVALID_SETTINGS = 2
 
 
 @click.command()
 @click.argument('settings_file', type=click.Path(path_type=Path))
-@click.option(
-    '--check-settings',
-    is_flag=True,
-    help='Check the settings file and exit.',
-)
-def main(settings_file: Path, check_settings: bool) -> None:  # noqa: FBT001
+@check_settings_option
+def main(settings_file: Path, check_only: bool) -> None:  # noqa: FBT001
     """Run an entry daemon with the settings in SETTINGS_FILE."""
     loaded = load_entry_settings(settings_file)
-    if not isinstance(loaded, Success):
-        click.echo(str(loaded.failure()), err=True)
-        sys.exit(_EXIT_INVALID_SETTINGS)
-    if check_settings:
-        click.echo(f'{settings_file}: valid')
-        return
-    curio.run(run_entry, loaded.unwrap())
+    settings = unwrap_settings(loaded, settings_file, check_only=check_only)
+    curio.run(run_entry, settings)
 
 
 async def run_entry(settings: EntrySettings) -> None:
--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -4,7 +4,6 @@
 
 import gc
 import signal
-import sys
 from functools import partial
 from pathlib import Path
 
@@ -19,11 +18,11 @@
 from .._ports import VmRecord
 from ..platform._settings import NodeSettings, load_node_settings
 from ._gateway_wiring import Gateway
+from ._settings_option import check_settings_option, unwrap_settings
 from ._tasks import Run, supervise
 
 _SETTINGS_VARIABLE = 'DAISYDYKE_NODE_FILE'
 METRICS_PORT = 9464
-_EXIT_INVALID_SETTINGS = 2
 _JOIN_POLL_S = 0.05
 _STAND_BY_POLL_S = 0.25
 # Time in which VMs that start together come to know each other.
@@ -41,21 +40,12 @@
     type=click.Path(path_type=Path),
     envvar=_SETTINGS_VARIABLE,
 )
-@click.option(
-    '--check-settings',
-    is_flag=True,
-    help='Check the settings file and exit.',
-)
-def main(settings_file: Path, check_settings: bool) -> None:  # noqa: FBT001
+@check_settings_option
+def main(settings_file: Path, check_only: bool) -> None:  # noqa: FBT001
     """Run a gateway daemon with the settings in SETTINGS_FILE."""
     loaded = load_node_settings(settings_file)
-    if not isinstance(loaded, Success):
-        click.echo(str(loaded.failure()), err=True)
-        sys.exit(_EXIT_INVALID_SETTINGS)
-    if check_settings:
-        click.echo(f'{settings_file}: valid')
-        return
-    curio.run(run_gateway, loaded.unwrap(), settings_file)
+    settings = unwrap_settings(loaded, settings_file, check_only=check_only)
+    curio.run(run_gateway, settings, settings_file)
 
 
 async def run_gateway(settings: NodeSettings, path: Path) -> None:
@@ -180,7 +170,3 @@
     remaining = grace * (1 - _LINGER_PART) - _EXIT_MARGIN_S
     await curio.ignore_after(remaining, gateway.callers.drain())
     gateway.log.record('stop', unfinished=gateway.callers.busy)
-
-
-if __name__ == '__main__':
-    main()
--- a/src/daisydyke/_cli/_gateway_main.py
+++ b/src/daisydyke/_cli/_gateway_main.py
@@ -6,9 +6,9 @@
 
 
 def main() -> None:
-    """Run the daemon, which outlives a SIGHUP sent while it is imported.
+    """Run the daemon; a SIGHUP while it is imported does not end it.
 
-    Settings are read after the import, so that such a signal tells nothing.
+    The settings are read after the import, so no change of them is missed.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Importing the daemon takes a few hundred milliseconds on a slow VM.
