Lock the files of both kinds of machine

Cause: pip-compile names only some of a release's files. For six packages it named the file for x86-64 alone, so that on arm64 pip refused to install and no command of the README ran.

Change: tools.lock, called by make lock, adds the file that each machine would install and lists the files in requirements.files.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,9 @@
 slopes: $(VENV)/.installed
 	$(RUN) -m bench.slopes
 
-lock:
-	$(PYTHON) -m piptools compile -q --extra dev --generate-hashes --allow-unsafe \
+lock: $(VENV)/.installed
+	$(RUN) -m pip install -q pip-tools
+	$(RUN) -m piptools compile -q --extra dev --generate-hashes --allow-unsafe \
 		--no-header --no-annotate --no-emit-index-url --no-emit-trusted-host \
 		--no-emit-find-links -o requirements.lock pyproject.toml
+	$(RUN) -m tools.lock
