Answer what has arrived when a server drains, and every method

Reports of operators of similar systems: during a planned stop under load, requests that had just been accepted were cut off without an answer.

What could happen here, each with a test in tests/contract/test_http_server.py: - a request of which only a part had arrived when the drain began was cut off; - an answer to HEAD, or a CONNECT, ended the task with an untyped error and the caller waited for ever; - the first accept that failed for want of file descriptors ended the task that accepts connections: no caller was served any more.

Change: a drain closes only connections of which no byte waits, accepts what the kernel had accepted, and time-outs go on; CONNECT is refused with 501; after a failed accept the longest idle connection is closed and accepting goes on.

--- a/src/daisydyke/_adapters/_http_server.py
+++ b/src/daisydyke/_adapters/_http_server.py
@@ -12,13 +12,16 @@
 from .._domain._model import Address
 from .._ports import Clock
 from ._clock import RuntimeClock
-from ._http_client import HttpRequest, HttpResponse, StreamSocket
-from ._sockets import disable_delay
+from ._http_client import HttpRequest, HttpResponse
+from ._sockets import disable_delay, has_unread
 
 _READ_BYTES = 65536
 _MAXIMUM_PIPELINED_BYTES = 262144
 _BACKLOG_CONNECTIONS = 512
 _DRAIN_POLL_INTERVAL_S = 0.01
+# For connections that the kernel has accepted before the drain.
+_LAST_ACCEPT_S = 0.02
+_ACCEPT_RETRY_INTERVAL_S = 0.05
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
 _BODY_LENGTH_FIELDS = frozenset((b'content-length', b'transfer-encoding'))
 
@@ -80,7 +83,8 @@
         self.closing = False
         self.requests_in_progress = 0
         self._connections: set[_Connection] = set()
-        self._tasks: list[curio.Task] = []
+        self._listener: curio.io.Socket | None = None
+        self._accept_task: curio.Task | None = None
 
     async def start(self, address: Address) -> None:
         """Bind the socket and start to accept connections.
@@ -88,36 +92,59 @@
         Raises:
             OSError: the address cannot be bound, such as when it is in use.
         """
-        listener = curio.tcp_server_socket(
+        self._listener = curio.tcp_server_socket(
             address.host,
             address.port,
             backlog=_BACKLOG_CONNECTIONS,
         )
-        for run in (self._accept(listener), self._close_overdue_connections()):
-            self._tasks.append(await curio.spawn(run, daemon=True))
+        self._accept_task = await curio.spawn(
+            self._accept(self._listener), daemon=True
+        )
+        await curio.spawn(self._close_overdue_connections, daemon=True)
 
     def stop_keep_alive(self) -> None:
         """Close each connection with its next response; keep accepting."""
         self.closing = True
 
     async def drain(self) -> None:
-        """Stop listening, close idle connections and await open requests."""
+        """Stop listening, close idle connections and await all others.
+
+        Requests that have arrived in part, or that wait to be read, are
+        answered as well.
+        """
         self.closing = True
-        for task in self._tasks:
-            await task.cancel()
-        for connection in tuple(self._connections):
-            await connection.close_if_idle()
-        while self.requests_in_progress:
+        await self._stop_listening()
+        while self._connections:
+            for connection in tuple(self._connections):
+                await connection.close_if_idle()
             await curio.sleep(_DRAIN_POLL_INTERVAL_S)
 
+    async def _stop_listening(self) -> None:
+        if self._listener is None or self._accept_task is None:
+            return
+        await self._accept_task.cancel()
+        await curio.ignore_after(_LAST_ACCEPT_S, self._accept(self._listener))
+        await self._listener.close()
+
     async def _accept(self, listener: curio.io.Socket) -> None:
-        async with listener:
-            while True:
+        while True:
+            try:
                 client, _ = await listener.accept()
-                disable_delay(client)
-                await curio.spawn(self._serve_connection(client), daemon=True)
+            except OSError:
+                # The client has gone, or no file descriptor is free.
+                await self._close_longest_idle()
+                await curio.sleep(_ACCEPT_RETRY_INTERVAL_S)
+                continue
+            disable_delay(client)
+            await curio.spawn(self._serve_connection(client), daemon=True)
+
+    async def _close_longest_idle(self) -> None:
+        connections = sorted(self._connections, key=_wait_started_at)
+        for connection in connections:
+            if await connection.close_if_idle():
+                return
 
-    async def _serve_connection(self, client: StreamSocket) -> None:
+    async def _serve_connection(self, client: curio.io.Socket) -> None:
         connection = _Connection(self, client)
         self._connections.add(connection)
         try:
@@ -141,7 +168,7 @@
     on reading, so that it detects when the client closes the connection.
     """
 
-    def __init__(self, server: HttpServer, client: StreamSocket) -> None:
+    def __init__(self, server: HttpServer, client: curio.io.Socket) -> None:
         self._server = server
         self._client = client
         self._limits = server.limits()
@@ -153,7 +180,7 @@
         self._body = bytearray()
         self._answer_task: curio.Task | None = None
         self._reader_task: curio.Task | None = None
-        self._wait_started_at = server.clock.monotonic()
+        self.wait_started_at = server.clock.monotonic()
         self._request_incomplete = False
 
     async def run(self) -> None:
@@ -167,10 +194,20 @@
             if self._answer_task is not None:
                 await self._end_answer_task(self._answer_task)
 
-    async def close_if_idle(self) -> None:
-        """Close the connection unless a request is being answered."""
-        if self._answer_task is None and self._reader_task is not None:
-            await self._reader_task.cancel(blocking=False)
+    async def close_if_idle(self) -> bool:
+        """Close the connection if no byte of a request has arrived.
+
+        Returns:
+            Whether the connection is being closed.
+        """
+        idle = (
+            self._answer_task is None
+            and not self._request_incomplete
+            and not has_unread(self._client)
+        )
+        if idle:
+            await self._stop_reading()
+        return idle
 
     async def close_if_overdue(self, now: float) -> None:
         """Close the connection if a time-out of its limits has passed."""
@@ -180,8 +217,9 @@
             if self._request_incomplete
             else limits.idle_timeout
         )
-        if now - self._wait_started_at > timeout:
-            await self.close_if_idle()
+        overdue = now - self.wait_started_at > timeout
+        if overdue and self._answer_task is None:
+            await self._stop_reading()
 
     async def _read(self) -> None:
         pipelined_bytes = 0
@@ -241,7 +279,7 @@
     async def _handle_incomplete_request(self) -> None:
         incomplete = bool(self._http.trailing_data[0]) or self._head is not None
         if incomplete and not self._request_incomplete:
-            self._wait_started_at = self._server.clock.monotonic()
+            self.wait_started_at = self._server.clock.monotonic()
         self._request_incomplete = incomplete
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(
@@ -270,6 +308,7 @@
                 self._http,
                 response,
                 last=self._server.closing,
+                bodiless=request.method == 'HEAD',
             )
             await self._client.sendall(payload)
         except OSError:
@@ -290,7 +329,7 @@
             await self._stop_reading()
             return
         self._http.start_next_cycle()
-        self._wait_started_at = self._server.clock.monotonic()
+        self.wait_started_at = self._server.clock.monotonic()
         if (
             self._http.trailing_data[0]
             and not await self._parse_or_send_error()
@@ -312,15 +351,24 @@
         )
 
 
+def _wait_started_at(connection: _Connection) -> float:
+    return connection.wait_started_at
+
+
 def _check_framing(head: h11.Request) -> None:
-    """Reject a request with both a content length and a transfer coding.
+    """Reject a request whose end other implementations may see elsewhere.
 
-    Other HTTP implementations may take the end of its body to be elsewhere,
-    which permits request smuggling.
+    That permits request smuggling: a request with both a content length and
+    a transfer coding, or one that asks for a tunnel.
 
     Raises:
-        RemoteProtocolError: both header fields are present.
+        RemoteProtocolError: the request is rejected.
     """
+    if head.method == b'CONNECT':
+        raise h11.RemoteProtocolError(
+            'CONNECT is not supported',
+            error_status_hint=HTTPStatus.NOT_IMPLEMENTED,
+        )
     names = {name for name, _ in head.headers}
     if names.issuperset(_BODY_LENGTH_FIELDS):
         raise h11.RemoteProtocolError(
@@ -347,6 +395,7 @@
     response: HttpResponse,
     *,
     last: bool,
+    bodiless: bool = False,
 ) -> bytes:
     """Encode a response as the next message on a connection.
 
@@ -357,6 +406,7 @@
         http: protocol state of the connection, which is advanced.
         response: response to encode.
         last: whether the connection is closed after the response.
+        bodiless: whether the body is left out, as in an answer to HEAD.
     """
     headers: list[tuple[str | bytes, str | bytes]] = [
         ('content-length', str(len(response.body))),
@@ -369,7 +419,7 @@
         headers.append(('connection', 'close'))
     head = h11.Response(status_code=response.status, headers=headers)
     parts = [http.send(head)]
-    if response.body:
+    if response.body and not bodiless:
         parts.append(http.send(h11.Data(data=response.body)))
     parts.append(http.send(h11.EndOfMessage()))
     return b''.join(part for part in parts if part)
--- a/src/daisydyke/_adapters/_sockets.py
+++ b/src/daisydyke/_adapters/_sockets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import select
+
 import curio
 
 from ..exceptions import ConnectionLostError
@@ -37,6 +39,13 @@
     return stream
 
 
+def has_unread(stream: curio.io.Socket) -> bool:
+    """Return whether bytes, or the end of the stream, can be read now."""
+    poller = select.poll()
+    poller.register(stream.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def disable_delay(stream: curio.io.Socket) -> None:
     """Disable Nagle's algorithm, so that small messages are sent at once."""
     stream.setsockopt(
--- a/tests/contract/test_http_server.py
+++ b/tests/contract/test_http_server.py
@@ -1,7 +1,9 @@
 """Contract tests of the HTTP server with raw requests over loopback."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from itertools import count
+from unittest import mock
 
 import curio
 from testtools import TestCase
@@ -170,3 +172,85 @@
         received = run_scenario(_scenario)
         self.assertThat(received, StartsWith(b'HTTP/1.1 200'))
         self.assertThat(received.lower(), Contains(b'connection: close'))
+
+    def test_request_that_waits_at_drain(self) -> None:
+        """A request that was sent before the drain is answered.
+
+        It may not have been read yet, nor its connection been accepted.
+        """
+
+        async def _scenario(server, handler, client):
+            host, port = client.getpeername()
+            late_client = await curio.open_connection(host, port)
+            async with late_client:
+                await client.sendall(REQUEST)
+                await late_client.sendall(REQUEST)
+                await server.drain()
+                return await read_all(client), await read_all(late_client)
+
+        for received in run_scenario(_scenario):
+            self.assertThat(received, StartsWith(b'HTTP/1.1 200'))
+
+    def test_request_that_is_incomplete_at_drain(self) -> None:
+        """A request whose first bytes came before the drain is answered."""
+
+        async def _scenario(server, handler, client):
+            await client.sendall(REQUEST[:10])
+            await curio.sleep(HANDLER_DELAY_S / 4)
+            drain = await curio.spawn(server.drain)
+            await curio.sleep(HANDLER_DELAY_S / 4)
+            await client.sendall(REQUEST[10:])
+            received = await read_all(client)
+            await drain.join()
+            return received
+
+        received = run_scenario(_scenario)
+        self.assertThat(received, StartsWith(b'HTTP/1.1 200'))
+        self.assertThat(received.lower(), Contains(b'connection: close'))
+
+    def test_drain_ends(self) -> None:
+        """Idle clients and those that never end a request are cut off."""
+
+        async def _scenario(server, handler, client):
+            await client.sendall(REQUEST[:10])
+            await curio.sleep(HANDLER_DELAY_S / 4)
+            async with curio.timeout_after(3):
+                await server.drain()
+            return await read_all(client)
+
+        limits = HttpLimits(head_timeout=0.2)
+        self.assertThat(run_scenario(_scenario, limits), Equals(b''))
+
+    def test_every_method_is_answered(self) -> None:
+        """Each method gets a complete answer in bounded time."""
+
+        async def _scenario(server, handler, client, request=REQUEST):
+            await client.sendall(request)
+            return await read_all(client)
+
+        for method in (b'HEAD', b'OPTIONS', b'CONNECT', b'TRACE', b'DELETE'):
+            request = LAST_REQUEST.replace(b'GET', method)
+            received = run_scenario(partial(_scenario, request=request))
+            self.assertThat(received, StartsWith(b'HTTP/1.1 '), method)
+            head, _, body = received.partition(b'\r\n\r\n')
+            self.assertThat(body == b'', Equals(method == b'HEAD'), method)
+
+    def test_accepting_survives_a_lack_of_descriptors(self) -> None:
+        """After the process had no descriptor left, callers are served."""
+
+        async def _scenario(server, handler, client):
+            with mock.patch.object(
+                curio.io.Socket, 'accept', side_effect=OSError(24, 'EMFILE')
+            ):
+                await curio.sleep(0)
+                async with await _open_another(client):
+                    await curio.sleep(HANDLER_DELAY_S)
+            async with await _open_another(client) as later:
+                await later.sendall(LAST_REQUEST)
+                return await read_all(later)
+
+        self.assertThat(run_scenario(_scenario), StartsWith(b'HTTP/1.1 200'))
+
+
+async def _open_another(client: curio.io.Socket) -> curio.io.Socket:
+    return await curio.open_connection(*client.getpeername())
