Bound and attribute every byte that a server sends

Reports of operators of similar systems: a second copy of an answer, late, on a connection in use again; a head cut short; bytes without end.

What could not: a reply cut at any byte of its head or framed body, by close or by reset, never looked whole.

Change: a connection that got more than its reply is closed and counts against the server; a request uses another connection than its earlier attempts; limits by what the route can use, by overhead and for all connections of the process together; deadline and server are checked again at sending.

The share of a VM's memory for incomplete replies is an eighth.

--- a/src/daisydyke/_backends/_connection.py
+++ b/src/daisydyke/_backends/_connection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 import curio
@@ -13,35 +13,62 @@
 from .._requests._model import ExchangeFailure, FailureReason, Reply
 from ..exceptions import ConnectionLostError, ProtocolViolationError
 from ._exchange import Exchange, ExchangeOutcome
+from ._reply_memory import ReplyMemory
 from ._server import BackendServer
 
 _READ_BYTES = 65536
 _CONNECT_TIMEOUT_S = 1.0
+_MAXIMUM_FOREIGN_REPLIES = 4
 
 
 class ReplyStream(Protocol):
     """Incremental parser of the responses on one connection."""
 
-    def expect(self, *, bodiless: bool) -> None:
+    @property
+    def has_excess(self) -> bool:
+        """Whether bytes after the latest complete reply were received."""
+
+    def expect(self, *, bodiless: bool, maximum_body: int) -> None:
         """Prepare for the reply to the next request.
 
         Parameters:
             bodiless: whether the reply has no body whatever its header says.
+            maximum_body: largest body in bytes.
         """
 
     def feed(self, received: bytes) -> list[Reply]:
         """Return the replies that these bytes complete.
 
         Raises:
-            ProtocolViolationError: the bytes are not a valid response.
+            ProtocolViolationError: the bytes are not a valid response or
+                exceed a limit.
         """
 
     def finish(self) -> Reply | None:
         """Return the reply that the end of the stream completes, if any."""
 
 
-OnEnded = Callable[['BackendConnection', Exchange, ExchangeOutcome], None]
-OnOpenedIdle = Callable[['BackendConnection'], None]
+class ConnectionOwner(Protocol):
+    """Receives the events of a connection."""
+
+    def may_send(self, server: BackendServer) -> bool:
+        """Return whether a server may still be sent requests."""
+
+    def handle_ended(
+        self,
+        connection: BackendConnection,
+        exchange: Exchange,
+        outcome: ExchangeOutcome,
+    ) -> None:
+        """Take an exchange that ended, before its queue gets the outcome."""
+
+    def handle_opened_idle(self, connection: BackendConnection) -> None:
+        """Take a connection that was opened without an exchange."""
+
+    def handle_violation(
+        self, connection: BackendConnection, detail: str
+    ) -> None:
+        """Note that the server violated the protocol."""
 
 
 class BackendConnection:
@@ -49,14 +76,13 @@
 
     The reading task runs as long as the connection. It therefore detects
     that the server closes an idle connection, or sends bytes that belong to
-    no request, before the connection is reused.
+    no request, before the connection is reused. A connection that received
+    more than the reply to its exchange is not reused.
 
     Parameters:
         replies: parses the bytes received.
-        on_ended: called with each exchange that ends and its outcome, before
-            the outcome is put into the exchange's queue.
-        on_opened_idle: called when a connection is open that was opened
-            without an exchange.
+        memory: bounds what all connections together receive at a time.
+        owner: receives the events of the connection.
 
     Attributes:
         exchange: open exchange, None while the connection is idle.
@@ -70,8 +96,8 @@
         server: BackendServer,
         replies: ReplyStream,
         clock: Clock,
-        on_ended: OnEnded,
-        on_opened_idle: OnOpenedIdle,
+        memory: ReplyMemory,
+        owner: ConnectionOwner,
     ) -> None:
         """Initialize without connecting; ``open`` connects."""
         self.server = server
@@ -80,11 +106,14 @@
         self.idle_since: float = 0
         self._replies = replies
         self._clock = clock
-        self._on_ended = on_ended
-        self._on_opened_idle = on_opened_idle
+        self._memory = memory
+        self._owner = owner
         self._socket: curio.io.Socket | None = None
         self._task: curio.Task | None = None
         self._closed = False
+        self._received_bytes = 0
+        self._replied = False
+        self._foreign_replies = 0
 
     async def open(self, exchange: Exchange | None = None) -> None:
         """Connect in the background and send the exchange, if there is one.
@@ -103,7 +132,7 @@
         self._assign(exchange)
         try:
             await self._send(exchange)
-        except OSError:
+        except (OSError, ConnectionLostError):
             await self.close()
 
     async def close(self) -> None:
@@ -122,13 +151,22 @@
     def _assign(self, exchange: Exchange) -> None:
         self.exchange = exchange
         exchange.connection = self
-        self._replies.expect(bodiless=exchange.bodiless)
+        self._replies.expect(
+            bodiless=exchange.bodiless,
+            maximum_body=exchange.maximum_body,
+        )
 
     async def _send(self, exchange: Exchange) -> None:
         if self._socket is None:
             raise ConnectionLostError('closed before the request was sent')
+        # Connecting, or a pause of this process, may have taken so long that
+        # the request is late or the server is about to leave.
+        remaining = exchange.deadline - self._clock.monotonic()
+        if remaining <= 0 or not self._owner.may_send(self.server):
+            raise ConnectionLostError('no longer allowed to send the request')
+        payload = exchange.encoder(self.server.server_id, remaining)
         exchange.sent = True
-        await self._socket.sendall(exchange.payload)
+        await self._socket.sendall(payload)
 
     async def _run(self) -> None:
         reason = FailureReason.CLOSED
@@ -136,8 +174,9 @@
             reason = await self._connect_and_read()
         except (OSError, ConnectionLostError):
             reason = FailureReason.CLOSED
-        except ProtocolViolationError:
+        except ProtocolViolationError as error:
             reason = FailureReason.GARBLED
+            self._owner.handle_violation(self, str(error))
         finally:
             await self._end(reason)
             if self._socket is not None:
@@ -150,39 +189,76 @@
         if self._socket is None:
             return FailureReason.CONNECT
         if self.exchange is None:
-            self._on_opened_idle(self)
+            self._owner.handle_opened_idle(self)
         else:
             await self._send(self.exchange)
         while True:
             received = await self._socket.recv(_READ_BYTES)
             if not received:
-                await self._deliver_last()
+                last = self._replies.finish()
+                await self._deliver([] if last is None else [last])
+                return FailureReason.CLOSED
+            self._count_received(received)
+            await self._deliver(self._replies.feed(received))
+            if self._closed:
                 return FailureReason.CLOSED
-            for reply in self._replies.feed(received):
-                if not await self._deliver(reply):
-                    return FailureReason.GARBLED
 
-    async def _deliver_last(self) -> None:
-        last = self._replies.finish()
-        if last is not None:
-            await self._deliver(last)
+    def _count_received(self, received: bytes) -> None:
+        if self.exchange is None:
+            raise ProtocolViolationError('bytes without a request')
+        if not self._memory.try_acquire(len(received)):
+            raise ProtocolViolationError('too many bytes of incomplete replies')
+        self._received_bytes += len(received)
+
+    def _release_received(self) -> None:
+        self._memory.release(self._received_bytes)
+        self._received_bytes = 0
+
+    async def _deliver(self, replies: list[Reply]) -> None:
+        """Deliver the reply to the open exchange, if it is among these."""
+        for position, reply in enumerate(replies, start=1):
+            if self._is_foreign(reply):
+                # The reply to the open exchange may still follow.
+                self._count_foreign()
+                continue
+            followed = position < len(replies) or self._replies.has_excess
+            await self._end_with_reply(reply, followed=followed)
+            return
+
+    def _count_foreign(self) -> None:
+        self._foreign_replies += 1
+        if self._foreign_replies > _MAXIMUM_FOREIGN_REPLIES:
+            raise ProtocolViolationError('replies to other requests')
 
-    async def _deliver(self, reply: Reply) -> bool:
-        """Deliver a reply; return whether to continue reading."""
+    def _is_foreign(self, reply: Reply) -> bool:
+        """Return whether a reply is a duplicate of one to another request.
+
+        Raises:
+            ProtocolViolationError: nothing shows to which request it belongs.
+        """
+        if self.exchange is None:
+            return True
+        if reply.request_id:
+            return reply.request_id != self.exchange.request_id
+        if self._replied or self._foreign_replies:
+            raise ProtocolViolationError('reply without a request id')
+        return False
+
+    async def _end_with_reply(self, reply: Reply, *, followed: bool) -> None:
         exchange = self.exchange
         if exchange is None:
-            return False
-        if reply.request_id and reply.request_id != exchange.request_id:
-            # A duplicate response to an earlier request; the response to the
-            # open exchange may still follow.
-            return True
-        if reply.keep_alive <= 0:
-            self._closed = True
+            return
+        if followed:
+            self._owner.handle_violation(self, 'bytes after the reply')
+        if followed or self._foreign_replies or not reply.request_id:
+            reply = replace(reply, keep_alive=0)
+        self._closed = self._closed or reply.keep_alive <= 0
+        self._replied = True
+        self._release_received()
         self._set_idle(reply.keep_alive)
-        self._on_ended(self, exchange, reply)
+        self._owner.handle_ended(self, exchange, reply)
         if exchange.outcomes is not None:
             await exchange.outcomes.put(exchange, reply)
-        return not self._closed
 
     def _set_idle(self, keep_alive: float) -> None:
         now = self._clock.monotonic()
@@ -193,6 +269,7 @@
     async def _end(self, reason: FailureReason) -> None:
         self._closed = True
         self.server.connections.discard(self)
+        self._release_received()
         exchange = self.exchange
         if exchange is None:
             return
@@ -201,6 +278,6 @@
             reason if exchange.sent else FailureReason.CONNECT,
             may_have_run=exchange.sent,
         )
-        self._on_ended(self, exchange, failure)
+        self._owner.handle_ended(self, exchange, failure)
         if exchange.outcomes is not None:
             await exchange.outcomes.put(exchange, failure)
--- a/src/daisydyke/_backends/_exchange.py
+++ b/src/daisydyke/_backends/_exchange.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from .._requests._model import ExchangeFailure, Reply
+from .._requests._model import ExchangeFailure, Reply, RequestEncoder
 
 if TYPE_CHECKING:
     from ._connection import BackendConnection
@@ -58,11 +58,16 @@
     Parameters:
         number: identifier that is unique in this process.
         part_index: position of the service or shard in the caller's request.
-        payload: encoded request.
+        encoder: encodes the request when it is sent, since connecting takes
+            some of the time that the server may use.
         started_at: monotonic time at which it was handed to the pool.
+        deadline: monotonic time from which it must not be sent any more.
         idempotent: whether the request may run more than once.
         bodiless: whether a reply has no body whatever its header says.
+        maximum_body: largest body of a reply in bytes.
         outcomes: queue for the outcome; None once it is no longer wanted.
+        used_connections: connections that have carried the same request. A
+            late duplicate of the reply on them would have the same identifier.
         sent: whether sending has begun, so that the request may have run.
         connection: connection that carries the exchange, once assigned.
     """
@@ -71,10 +76,13 @@
     part_index: int
     request_id: str
     server: BackendServer
-    payload: bytes
+    encoder: RequestEncoder
     started_at: float
+    deadline: float
     idempotent: bool
     bodiless: bool
+    maximum_body: int
     outcomes: OutcomeQueue | None
+    used_connections: tuple[BackendConnection, ...] = ()
     sent: bool = False
     connection: BackendConnection | None = None
--- a/src/daisydyke/_backends/_pool.py
+++ b/src/daisydyke/_backends/_pool.py
@@ -6,10 +6,11 @@
 
 import curio
 
-from .._ports import Clock
+from .._ports import Clock, DecisionLog
 from .._requests._model import ExchangeFailure, Reply
 from ._connection import BackendConnection, ReplyStream
 from ._exchange import Exchange, ExchangeOutcome
+from ._reply_memory import ReplyMemory
 from ._server import BackendServer
 
 _SWEEP_INTERVAL_S = 0.1
@@ -26,9 +27,15 @@
         make_stream: returns the response parser of a new connection.
         connection_limit: returns the number of connections that this VM may
             have to a server.
+        may_send: returns whether a server may be sent requests; checked again
+            when a new connection is open.
+        reply_memory_bytes: largest number of bytes that incomplete replies may
+            take on all connections together.
+        log: gets a record each time that a server violates the protocol.
 
     Attributes:
         opened_count: connections opened so far.
+        violation_count: violations of the protocol by servers so far.
         loop_lag_s: lag of the event loop, the seconds by which the timer of
             the latest sweep fired late.
     """
@@ -37,13 +44,20 @@
         self,
         make_stream: Callable[[], ReplyStream],
         connection_limit: Callable[[BackendServer], int],
+        may_send: Callable[[BackendServer], bool],
+        reply_memory_bytes: int,
         clock: Clock,
+        log: DecisionLog,
     ) -> None:
         """Initialize without connections."""
         self._make_stream = make_stream
         self._connection_limit = connection_limit
+        self._may_send = may_send
+        self._memory = ReplyMemory(reply_memory_bytes)
         self._clock = clock
+        self._log = log
         self.opened_count = 0
+        self.violation_count = 0
         self.loop_lag_s: float = 0
 
     def can_submit(self, server: BackendServer) -> bool:
@@ -121,6 +135,47 @@
             for connection in expired:
                 await self._close(connection)
 
+    def may_send(self, server: BackendServer) -> bool:
+        """Return whether a server may still be sent requests."""
+        return self._may_send(server)
+
+    def handle_violation(
+        self, connection: BackendConnection, detail: str
+    ) -> None:
+        """Count a violation of the protocol as a failure of the server."""
+        server = connection.server
+        self.violation_count += 1
+        server.evidence.record_failure(self._clock.monotonic())
+        self._log.record(
+            'protocol_violation', server=server.server_id, detail=detail
+        )
+
+    def handle_opened_idle(self, connection: BackendConnection) -> None:
+        """Keep a connection that was opened without an exchange."""
+        now = self._clock.monotonic()
+        connection.idle_since = now
+        connection.idle_until = now + _NEVER_USED_MAX_IDLE_S
+        connection.server.idle.append(connection)
+
+    def handle_ended(
+        self,
+        connection: BackendConnection,
+        exchange: Exchange,
+        outcome: ExchangeOutcome,
+    ) -> None:
+        """Record the outcome of an exchange and keep its connection."""
+        server = exchange.server
+        server.outstanding.pop(exchange.number, None)
+        now = self._clock.monotonic()
+        if isinstance(outcome, ExchangeFailure):
+            if exchange.outcomes is not None:
+                server.evidence.record_failure(now)
+            return
+        self._record_reply(server, exchange, outcome)
+        if outcome.keep_alive > 0 and not server.removed:
+            connection.idle_until -= _KEEP_ALIVE_MARGIN_S
+            server.idle.append(connection)
+
     async def _close(self, connection: BackendConnection) -> None:
         if connection in connection.server.idle:
             connection.server.idle.remove(connection)
@@ -131,8 +186,8 @@
             server,
             self._make_stream(),
             self._clock,
-            self._handle_ended,
-            self._handle_opened_idle,
+            self._memory,
+            self,
         )
         server.connections.add(connection)
         self.opened_count += 1
@@ -144,12 +199,6 @@
             return
         await self._make_connection(server).open()
 
-    def _handle_opened_idle(self, connection: BackendConnection) -> None:
-        now = self._clock.monotonic()
-        connection.idle_since = now
-        connection.idle_until = now + _NEVER_USED_MAX_IDLE_S
-        connection.server.idle.append(connection)
-
     async def _pop_idle(
         self,
         exchange: Exchange,
@@ -160,6 +209,11 @@
             connection = idle.pop()
             if connection.closed or connection.idle_until <= now:
                 continue
+            if connection in exchange.used_connections:
+                # A late duplicate of an earlier reply to the same request
+                # could be taken for the new one.
+                await connection.close()
+                continue
             stale = now - connection.idle_since > _NON_IDEMPOTENT_MAX_IDLE_S
             if stale and not exchange.idempotent:
                 # A non-idempotent request must not be lost to a connection
@@ -169,24 +223,6 @@
             return connection
         return None
 
-    def _handle_ended(
-        self,
-        connection: BackendConnection,
-        exchange: Exchange,
-        outcome: ExchangeOutcome,
-    ) -> None:
-        server = exchange.server
-        server.outstanding.pop(exchange.number, None)
-        now = self._clock.monotonic()
-        if isinstance(outcome, ExchangeFailure):
-            if exchange.outcomes is not None:
-                server.evidence.record_failure(now)
-            return
-        self._record_reply(server, exchange, outcome)
-        if outcome.keep_alive > 0 and not server.removed:
-            connection.idle_until -= _KEEP_ALIVE_MARGIN_S
-            server.idle.append(connection)
-
     def _record_reply(
         self,
         server: BackendServer,
--- a/src/daisydyke/_backends/_registry.py
+++ b/src/daisydyke/_backends/_registry.py
@@ -120,10 +120,20 @@
     Parameters:
         excluded_domains: failure domains that are out of service.
     """
-    return [
-        server
-        for server in servers
-        if not server.record.draining
+    return [server for server in servers if is_usable(server, excluded_domains)]
+
+
+def is_usable(
+    server: BackendServer,
+    excluded_domains: frozenset[str],
+) -> bool:
+    """Return whether a server may be sent new requests.
+
+    Parameters:
+        excluded_domains: failure domains that are out of service.
+    """
+    return (
+        not server.record.draining
         and not server.removed
         and server.record.domain not in excluded_domains
-    ]
+    )
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -16,7 +16,7 @@
 from .._adapters._observability import JsonDecisionLog, make_logger
 from .._backends._cold_admission import ColdAdmission
 from .._backends._pool import ConnectionPool
-from .._backends._registry import ServerRegistry, usable
+from .._backends._registry import ServerRegistry, is_usable, usable
 from .._backends._server import BackendServer
 from .._backends._shares import FleetShares
 from .._members._address_book import AddressBook
@@ -51,6 +51,8 @@
 # Longer, since each server changes its entry several times while it starts or
 # leaves, and one watch returns all changes since the previous one.
 _SERVER_WATCH_INTERVAL_S = 0.5
+# Share of this VM's memory for replies that are being received.
+_REPLY_MEMORY_SHARE = 0.125
 
 
 class Gateway:
@@ -106,7 +108,10 @@
         self.pool = ConnectionPool(
             HttpReplyStream,
             self._shares.connection_limit,
+            self._may_send,
+            int(settings.memory_bytes * _REPLY_MEMORY_SHARE),
             self.clock,
+            self.log,
         )
         self.domain_sink = DomainSink(self.log)
         self.server_sink = ServerSink(
@@ -221,6 +226,7 @@
             'store_calls': self.store.call_count,
             'store_lost_seconds': now - lost_at if lost_at else 0,
             'server_connections_opened': self.pool.opened_count,
+            'server_protocol_violations': self.pool.violation_count,
             'requests_in_flight': self.caller_server.requests_in_progress,
             'loop_lag_seconds': self.pool.loop_lag_s,
             'log_lines_left_out': self.log.suppressed_lines,
@@ -238,6 +244,9 @@
             self.registry.of_service(service), self.domain_sink.excluded
         )
 
+    def _may_send(self, server: BackendServer) -> bool:
+        return is_usable(server, self.domain_sink.excluded)
+
     def _policy(self, service: str) -> ServicePolicy | None:
         table = self.table_sink.table
         return table.services.get(service) if table else None
--- a/src/daisydyke/_requests/_dispatch.py
+++ b/src/daisydyke/_requests/_dispatch.py
@@ -9,6 +9,7 @@
 from itertools import count
 from typing import Protocol
 
+from .._backends._connection import BackendConnection
 from .._backends._exchange import Exchange, ExchangeOutcome, OutcomeQueue
 from .._backends._extra_load import ExtraLoadBudget
 from .._backends._server import BackendServer
@@ -22,10 +23,15 @@
     RequestEncoderFactory,
     Route,
 )
+from ._records import RECORD_BYTES
 
 _RETRY_BACKOFF_STEP_S = 0.015
 _MAXIMUM_REFUSALS = 6
 _MINIMUM_ATTEMPT_TIME_S = 0.002
+_MAXIMUM_BODY_BYTES = 1 << 24
+# A shard may return more records than the merged answer has.
+_MINIMUM_PART_BYTES = 262144
+_PART_SIZE_FACTOR = 16
 
 # Returns the servers of a service that are eligible for requests.
 ServerLookup = Callable[[str], list[BackendServer]]
@@ -86,6 +92,7 @@
         tried_servers: servers chosen for an attempt, in order.
         possible_runs: attempts that may have run on a server.
         refusals: attempts known not to have run.
+        used_connections: connections of the attempts that have ended.
         error_reply: the latest unsuccessful reply of a server that did not
             report that the request had not run.
         failure_reason: why the latest attempt failed.
@@ -99,6 +106,7 @@
     tried_servers: list[BackendServer] = field(default_factory=list)
     possible_runs: int = 0
     refusals: int = 0
+    used_connections: list[BackendConnection] = field(default_factory=list)
     reply: Reply | None = None
     error_reply: Reply | None = None
     failure_reason: FailureReason = FailureReason.TIMEOUT
@@ -214,6 +222,8 @@
         if exchange not in part.open_exchanges:
             return
         part.open_exchanges.remove(exchange)
+        if exchange.connection is not None:
+            part.used_connections.append(exchange.connection)
         if isinstance(outcome, ExchangeFailure):
             part.failure_reason = outcome.reason
             await self._handle_failure(part, may_have_run=outcome.may_have_run)
@@ -225,7 +235,7 @@
             await self._record_success(part, outcome)
             return
         part.failure_reason = _failure_reason(outcome)
-        if not outcome.not_run:
+        if not outcome.not_run and not outcome.status_implies_success:
             part.error_reply = outcome
         await self._handle_failure(part, may_have_run=not outcome.not_run)
 
@@ -298,17 +308,7 @@
         if remaining < _MINIMUM_ATTEMPT_TIME_S:
             self._finish(part)
             return
-        exchange = Exchange(
-            next(self._dependencies.sequence_numbers),
-            part.position,
-            self._request.request_id,
-            server,
-            self._encoder(server.server_id, remaining),
-            now,
-            self._route.idempotent,
-            self._request.method == b'HEAD',
-            self._outcomes,
-        )
+        exchange = self._make_exchange(part, server, now)
         part.tried_servers.append(server)
         part.open_exchanges.append(exchange)
         if not await self._dependencies.pool.submit(exchange):
@@ -322,6 +322,24 @@
         ):
             self._add_timer(self._schedule.hedge_delay, part, is_hedge=True)
 
+    def _make_exchange(
+        self, part: Part, server: BackendServer, now: float
+    ) -> Exchange:
+        return Exchange(
+            next(self._dependencies.sequence_numbers),
+            part.position,
+            self._request.request_id,
+            server,
+            self._encoder,
+            now,
+            self._schedule.deadline,
+            self._route.idempotent,
+            self._request.method == b'HEAD',
+            _maximum_body(self._route),
+            self._outcomes,
+            tuple(part.used_connections),
+        )
+
     def _choose_server(
         self,
         part: Part,
@@ -376,6 +394,17 @@
             part.open_exchanges.clear()
 
 
+def _maximum_body(route: Route) -> int:
+    """Return the largest useful body of a reply in bytes."""
+    if not route.shards:
+        return _MAXIMUM_BODY_BYTES
+    useful = route.maximum_records * RECORD_BYTES
+    return min(
+        _MAXIMUM_BODY_BYTES,
+        max(_MINIMUM_PART_BYTES, _PART_SIZE_FACTOR * useful),
+    )
+
+
 def _failure_reason(reply: Reply) -> FailureReason:
     if reply.not_run and reply.instance:
         return FailureReason.MISDIRECTED
--- a/src/daisydyke/_requests/_model.py
+++ b/src/daisydyke/_requests/_model.py
@@ -182,11 +182,16 @@
     def success(self) -> bool:
         """Whether this is a signed 2xx response to a request that ran."""
         return (
-            HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
+            self.status_implies_success
             and bool(self.stamp)
             and not self.not_run
         )
 
+    @property
+    def status_implies_success(self) -> bool:
+        """Whether the status is 2xx, which a caller takes for a success."""
+        return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
+
     @property
     def status_implies_not_run(self) -> bool:
         """Whether the status by itself means that the request has not run."""
--- a/src/daisydyke/platform/_servers.py
+++ b/src/daisydyke/platform/_servers.py
@@ -13,8 +13,14 @@
 from . import _headers
 
 _MS_PER_S = 1000
+_OPTIONAL_WHITESPACE = b' \t'
 _DEFAULT_KEEP_ALIVE_S = 60.0
 _MAXIMUM_BODY_BYTES = 1 << 24
+_MAXIMUM_FIELD_COUNT = 256
+# Status lines, header fields, interim responses, chunk sizes and trailers.
+_MAXIMUM_OVERHEAD_BYTES = 65536
+# Allows for bodies in small chunks.
+_OVERHEAD_PER_BODY_BYTE = 8
 _BODILESS_STATUSES = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED),
 )
@@ -70,34 +76,53 @@
         self._parser = httptools.HttpResponseParser(self)
         self._completed: list[Reply] = []
         self._bodiless = False
+        self._maximum_body = _MAXIMUM_BODY_BYTES
+        self._received_bytes = 0
         self._in_message = False
+        self._failed = False
         self._in_body = False
         self._fields: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_size = 0
 
-    def expect(self, *, bodiless: bool) -> None:
+    @property
+    def has_excess(self) -> bool:
+        """Whether bytes after the latest complete reply were received."""
+        return self._failed or self._in_message
+
+    def expect(
+        self, *, bodiless: bool, maximum_body: int = _MAXIMUM_BODY_BYTES
+    ) -> None:
         """Prepare for the reply to the next request.
 
         Parameters:
             bodiless: whether the reply has no body whatever its header says.
+            maximum_body: largest body in bytes.
         """
         self._bodiless = bodiless
+        self._maximum_body = maximum_body
 
     def feed(self, received: bytes) -> list[Reply]:
         """Return the replies that these bytes complete.
 
         Raises:
-            ProtocolViolationError: the bytes are not a valid response and
-                complete no reply.
+            ProtocolViolationError: the bytes are not a valid response or
+                exceed a limit, and complete no reply.
         """
+        self._received_bytes += len(received)
         try:
             self._parser.feed_data(received)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            self._failed = True
             if not self._completed:
                 raise ProtocolViolationError(str(error)) from error
         completed = self._completed
         self._completed = []
+        if not completed:
+            self._check_overhead()
         return completed
 
     def finish(self) -> Reply | None:
@@ -120,7 +145,12 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Add a header field; called by the parser."""
-        self._fields.append((name.lower(), text))
+        if self._in_body:
+            # A trailer; it must not replace a field of the header.
+            return
+        if len(self._fields) == _MAXIMUM_FIELD_COUNT:
+            raise ProtocolViolationError('too many header fields')
+        self._fields.append((name.lower(), text.strip(_OPTIONAL_WHITESPACE)))
 
     def on_headers_complete(self) -> None:
         """Begin the body or complete a bodiless reply; called by the parser.
@@ -130,14 +160,14 @@
         self._in_body = True
         if self._bodiless:
             self._in_body = False
-            self._completed.append(self._to_reply(closes=True))
+            self._complete(closes=True)
 
     def on_body(self, body: bytes) -> None:
         """Add a chunk of the body; called by the parser."""
         self._body_size += len(body)
-        if self._body_size > _MAXIMUM_BODY_BYTES:
+        if self._body_size > self._maximum_body:
             raise ProtocolViolationError(
-                f'response body exceeds {_MAXIMUM_BODY_BYTES} bytes',
+                f'response body exceeds {self._maximum_body} bytes',
             )
         self._body.append(body)
 
@@ -146,13 +176,25 @@
 
         Interim responses (1xx) are dropped.
         """
+        self._in_message = False
         if not self._in_body:
             return
         self._in_body = False
         if self._parser.get_status_code() < HTTPStatus.OK:
             return
-        closes = not self._parser.should_keep_alive()
+        self._complete(closes=not self._parser.should_keep_alive())
+
+    def _complete(self, *, closes: bool) -> None:
         self._completed.append(self._to_reply(closes=closes))
+        self._received_bytes = 0
+        self._body_size = 0
+
+    def _check_overhead(self) -> None:
+        allowed = (
+            _MAXIMUM_OVERHEAD_BYTES + self._body_size * _OVERHEAD_PER_BODY_BYTE
+        )
+        if self._received_bytes - self._body_size > allowed:
+            raise ProtocolViolationError('response without an end')
 
     def _is_framed(self) -> bool:
         names = {name for name, _ in self._fields}
@@ -166,7 +208,7 @@
             status,
             tuple(self._fields),
             b''.join(self._body),
-            _header_text(headers, _headers.SERVER_STAMP),
+            _stamp(headers),
             _header_text(headers, _headers.REQUEST_ID),
             not_run or status == HTTPStatus.MISDIRECTED_REQUEST,
             _header_text(headers, _headers.INSTANCE_ID),
@@ -179,6 +221,12 @@
     return headers.get(name, b'').decode('latin-1')
 
 
+def _stamp(headers: dict[bytes, bytes]) -> str:
+    stamp = _header_text(headers, _headers.SERVER_STAMP)
+    # A merged answer separates its stamps by commas.
+    return '' if ',' in stamp else stamp
+
+
 def _parse_non_negative(text: str) -> float:
     try:
         return max(0, float(text))
--- a/src/daisydyke/platform/_settings.py
+++ b/src/daisydyke/platform/_settings.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -14,6 +15,8 @@
 from .._settings._documents import decode, parse_address
 from ..exceptions import InvalidDocumentError
 
+_BYTES_PER_MB = 1048576
+
 
 class _Listen(msgspec.Struct):
     front: str
@@ -37,6 +40,7 @@
     cpu_share: float = 1
     # Factor on the speed of that core; the process still has a single core.
     cpu_cores: float = 1
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 256
 
 
 class _Store(msgspec.Struct):
@@ -76,6 +80,7 @@
         maximum_ttl_s: longest time in seconds for which callers cache an
             address.
         speed: processing speed of a process on this VM; 1 is a whole core.
+        memory_bytes: memory that the process may use.
         first_start: whether all VMs start together, none having run before.
     """
 
@@ -92,6 +97,7 @@
     grace_s: float
     maximum_ttl_s: float
     speed: float
+    memory_bytes: int
     first_start: bool
 
 
@@ -146,5 +152,6 @@
         bounds.grace_s,
         bounds.ttl_max_s,
         settings.limits.cpu_share * settings.limits.cpu_cores,
+        int(settings.limits.memory_mb * _BYTES_PER_MB),
         settings.bootstrap,
     )
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -10,7 +10,6 @@
 from testtools.matchers import Equals, HasLength, Is
 
 from daisydyke._adapters._datagrams import Digest
-from daisydyke._backends._pool import ConnectionPool
 from daisydyke._backends._registry import ServerRegistry
 from daisydyke._domain._model import Address
 from daisydyke._mirror._mirror import KindMirror
@@ -26,7 +25,12 @@
 from tests.fakes import RecordingLog
 from tests.gateway.test_mirror import listing
 from tests.gateway.test_sinks import decode_server
-from tests.gateway.world import RecordingSink, ScriptedStore, member
+from tests.gateway.world import (
+    RecordingSink,
+    ScriptedStore,
+    make_pool,
+    member,
+)
 from tests.virtual_time import VirtualClock, run_virtual
 
 KIND = 'kind'
@@ -326,6 +330,6 @@
     log = RecordingLog()
     health = StoreHealth(clock, log)
     registry = ServerRegistry(clock, log)
-    pool = ConnectionPool(lambda: None, lambda server: 1, clock)
+    pool = make_pool(clock, log=log)
     sink = ServerSink(registry, pool, decode_server, health, clock, log)
     return SimpleNamespace(sink=sink, health=health, registry=registry)
--- a/tests/gateway/test_sinks.py
+++ b/tests/gateway/test_sinks.py
@@ -5,7 +5,6 @@
 from testtools import TestCase
 from testtools.matchers import Equals, Is
 
-from daisydyke._backends._pool import ConnectionPool
 from daisydyke._backends._registry import ServerRegistry, usable
 from daisydyke._mirror._sinks import DomainSink, ServerSink, TableSink
 from daisydyke._mirror._store_health import StoreHealth
@@ -14,7 +13,7 @@
 from daisydyke._requests._routes import RoutingTable
 from daisydyke.exceptions import InvalidDocumentError, PlatformUnavailableError
 from tests.fakes import RecordingLog
-from tests.gateway.world import server_record
+from tests.gateway.world import make_pool, server_record
 from tests.virtual_time import VirtualClock, run_virtual
 
 # After an outage, a server that does not register again is kept for at least
@@ -100,7 +99,7 @@
         self.log = RecordingLog()
         self.health = StoreHealth(clock, self.log)
         self.registry = ServerRegistry(clock, self.log)
-        pool = ConnectionPool(lambda: None, lambda server: 1, clock)
+        pool = make_pool(clock)
         self.sink = ServerSink(
             self.registry,
             pool,
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import curio
 from returns.result import Failure, Result, Success
 
 from daisydyke._adapters._datagrams import Member, Status
-from daisydyke._backends._server import ServerRecord
+from daisydyke._backends._connection import ReplyStream
+from daisydyke._backends._pool import ConnectionPool
+from daisydyke._backends._server import BackendServer, ServerRecord
 from daisydyke._domain._model import Address
 from daisydyke._ports import Listing, StoredObject
 from daisydyke.exceptions import PlatformError
+from daisydyke.platform._servers import HttpReplyStream
+from tests.fakes import RecordingLog
+from tests.virtual_time import VirtualClock
 
 
 def server_record(server_id: str = 'i-1', **changes: object) -> ServerRecord:
@@ -33,6 +38,26 @@
     return ServerRecord(**{**members, **changes})  # type: ignore[arg-type]
 
 
+def make_pool(
+    clock: VirtualClock,
+    *,
+    make_stream: Callable[[], ReplyStream] = HttpReplyStream,
+    connection_limit: int = 1,
+    may_send: Callable[[BackendServer], bool] = lambda server: True,
+    reply_memory_bytes: int = 1 << 24,
+    log: RecordingLog | None = None,
+) -> ConnectionPool:
+    """Return a connection pool that sends to every server."""
+    return ConnectionPool(
+        make_stream,
+        lambda server: connection_limit,
+        may_send,
+        reply_memory_bytes,
+        clock,
+        log or RecordingLog(),
+    )
+
+
 def member(vm: str, **changes: object) -> Member:
     """Return a member that is alive.
 
--- a/tests/load/test_at_most_once.py
+++ b/tests/load/test_at_most_once.py
@@ -107,3 +107,10 @@
         behaviour = ServerBehaviour(override=lambda server: unmarked)
         answer, _ = run_virtual(_send_post, behaviour)
         self.assertThat(answer, IsInstance(Unanswered))
+
+    def test_unsigned_success_is_not_passed_on(self) -> None:
+        """A 2xx reply without a signature is no answer to the caller."""
+        unsigned = Reply(200, (), b'short', '', '', False, '', 0, 60)
+        behaviour = ServerBehaviour(override=lambda server: unsigned)
+        answer, _ = run_virtual(_send_post, behaviour)
+        self.assertThat(answer, IsInstance(Unanswered))
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -47,6 +47,7 @@
         grace_s=0.5,
         maximum_ttl_s=5,
         speed=1,
+        memory_bytes=1 << 28,
         first_start=False,
     )
 
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -3,7 +3,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import ExpectedException, TestCase
-from testtools.matchers import Contains, Equals, HasLength, Is, Not
+from testtools.matchers import (
+    Contains,
+    ContainsDict,
+    Equals,
+    HasLength,
+    Is,
+    Not,
+)
 
 from daisydyke._requests._model import CallerRequest
 from daisydyke.exceptions import ProtocolViolationError
@@ -173,3 +180,43 @@
         replies = HttpReplyStream().feed(b'HTTP/1.1 100 Continue\r\n\r\n' + OK)
         self.assertThat([reply.status for reply in replies], Equals([200]))
         self.assertThat(replies[0].stamp, Not(Equals('')))
+
+    def test_whitespace_around_field(self) -> None:
+        """Whitespace after a field's text is not part of it.
+
+        Sent on to the caller, it would make the answer invalid.
+        """
+        (reply,) = HttpReplyStream().feed(
+            b'HTTP/1.1 200 OK\r\nDaisydyke-Server-Stamp: s1 \t\r\n'
+            b'Content-Length: 0\r\n\r\n',
+        )
+        self.assertThat(reply.stamp, Equals('s1'))
+        self.assertThat(
+            dict(reply.fields),
+            ContainsDict(
+                {
+                    b'daisydyke-server-stamp': Equals(b's1'),
+                }
+            ),
+        )
+
+    def test_trailer(self) -> None:
+        """A trailer does not replace a field of the header."""
+        (reply,) = HttpReplyStream().feed(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n'
+            b'Daisydyke-Request-Id: r1\r\n\r\n0\r\n'
+            b'Daisydyke-Request-Id: r2\r\n\r\n',
+        )
+        self.assertThat(reply.request_id, Equals('r1'))
+
+    def test_two_stamps(self) -> None:
+        """A signature with a comma would count as two parts of an answer."""
+        (reply,) = HttpReplyStream().feed(OK.replace(b'p: s1', b'p: s1, s2'))
+        self.assertFalse(reply.success)
+
+    def test_switch_of_protocol(self) -> None:
+        """A server cannot switch to another protocol."""
+        with ExpectedException(ProtocolViolationError):
+            HttpReplyStream().feed(
+                b'HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n',
+            )
