Renew watches that the store has swallowed

Cause, from the logs: the store fell silent for 2.6 s just after a change had ended the servers' watch on all VMs. The watch that followed was swallowed; nothing on the connection shows that, and it may wait 29 s. 7 of 15 serving VMs knew nothing of servers until the final fault, 20 s later. The 8 VMs that had been cut off had lost their watches and knew. A VM that is behind learns it from a member's ping, but 180 VMs that stand by take most of the pings.

Change: while a VM serves, it reads the store's version every 1.5 s by a list that is empty, stale and costs a tenth. If that fails, all watches are renewed once it succeeds; if the version rises and a watch stays silent, that watch is.

Weighed: a watch of 5 s on every VM (five times the calls), two VMs that renew often and tell the others (members meet too rarely where many stand by).

--- a/src/daisydyke/_backends/_registry.py
+++ b/src/daisydyke/_backends/_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from .._ports import Clock, DecisionLog
 from ._server import BackendServer, ServerRecord
@@ -111,29 +111,47 @@
         ]
 
 
-def usable(
-    servers: Iterable[BackendServer],
-    excluded_domains: frozenset[str],
-) -> list[BackendServer]:
-    """Return the servers that may be sent new requests.
+class UsableServers:
+    """The registered servers that may be sent new requests.
 
     Parameters:
-        excluded_domains: failure domains that are out of service.
+        registry: all registered servers.
+        excluded_domains: returns the failure domains that are out of service.
     """
-    return [server for server in servers if is_usable(server, excluded_domains)]
 
+    def __init__(
+        self,
+        registry: ServerRegistry,
+        excluded_domains: Callable[[], frozenset[str]],
+    ) -> None:
+        """Initialize with the sources of servers and domains."""
+        self._registry = registry
+        self._excluded_domains = excluded_domains
 
-def is_usable(
-    server: BackendServer,
+    def of_service(self, service: str) -> list[BackendServer]:
+        """Return the usable servers of a service."""
+        return usable(
+            self._registry.of_service(service), self._excluded_domains()
+        )
+
+    def includes(self, server: BackendServer) -> bool:
+        """Return whether a server is usable."""
+        return bool(usable((server,), self._excluded_domains()))
+
+
+def usable(
+    servers: Iterable[BackendServer],
     excluded_domains: frozenset[str],
-) -> bool:
-    """Return whether a server may be sent new requests.
+) -> list[BackendServer]:
+    """Return the servers that may be sent new requests.
 
     Parameters:
         excluded_domains: failure domains that are out of service.
     """
-    return (
-        not server.record.draining
+    return [
+        server
+        for server in servers
+        if not server.record.draining
         and not server.removed
         and server.record.domain not in excluded_domains
-    )
+    ]
--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -112,6 +112,7 @@
     """
     await _stand_by(gateway)
     await _spawn(gateway, gateway.mirror_relay.run)
+    await _spawn(gateway, gateway.store_probe.run)
     for mirror in gateway.mirrors:
         await _spawn(gateway, mirror.run)
     while not gateway.has_initial_data():
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -16,8 +16,7 @@
 from .._adapters._observability import JsonDecisionLog, make_logger
 from .._backends._cold_admission import ColdAdmission
 from .._backends._pool import ConnectionPool
-from .._backends._registry import ServerRegistry, is_usable, usable
-from .._backends._server import BackendServer
+from .._backends._registry import ServerRegistry, UsableServers
 from .._backends._shares import FleetShares
 from .._members._address_book import AddressBook
 from .._members._membership import Membership
@@ -25,6 +24,7 @@
 from .._mirror._relay import MirrorRelay
 from .._mirror._sinks import DomainSink, ServerSink, TableSink
 from .._mirror._store_health import StoreHealth
+from .._mirror._store_probe import StoreProbe
 from .._ports import Listing
 from .._requests._dispatch import DispatchDependencies
 from .._requests._model import ServicePolicy
@@ -60,6 +60,7 @@
 
     Attributes:
         mirrors: copies of the store's objects, one for each kind.
+        store_probe: renews watches that the store no longer answers.
         mirror_relay: updates the mirrors from other VMs.
         caller_server: serves the requests of callers.
         directory_server: serves the addresses that callers should use.
@@ -85,12 +86,19 @@
         self.store = ObjectStore(settings.store)
         self.store_health = StoreHealth(self.clock, self.log)
         self.registry = ServerRegistry(self.clock, self.log)
+        self.domain_sink = DomainSink(self.log)
+        self._usable_servers = UsableServers(
+            self.registry, lambda: self.domain_sink.excluded
+        )
         self.table_sink = TableSink(
             CONFIGURATION_NAME,
             decode_configuration,
             self.log,
         )
         self.mirrors: list[KindMirror] = []
+        self.store_probe = StoreProbe(
+            self.store, self.mirrors, self.store_health
+        )
         self.mirror_relay = MirrorRelay(
             self.mirrors,
             MirrorReader(),
@@ -108,12 +116,11 @@
         self.pool = ConnectionPool(
             HttpReplyStream,
             self._shares.connection_limit,
-            self._may_send,
+            self._usable_servers.includes,
             int(settings.memory_bytes * _REPLY_MEMORY_SHARE),
             self.clock,
             self.log,
         )
-        self.domain_sink = DomainSink(self.log)
         self.server_sink = ServerSink(
             self.registry,
             self.pool,
@@ -197,7 +204,7 @@
     def _request_dependencies(self) -> RequestDependencies:
         dispatch = DispatchDependencies(
             self.pool,
-            self._candidates,
+            self._usable_servers.of_service,
             self._cold_admission.admit,
             self._shares.extra_load,
             encode_request,
@@ -239,14 +246,6 @@
                 return mirror.listing()
         return None
 
-    def _candidates(self, service: str) -> list[BackendServer]:
-        return usable(
-            self.registry.of_service(service), self.domain_sink.excluded
-        )
-
-    def _may_send(self, server: BackendServer) -> bool:
-        return is_usable(server, self.domain_sink.excluded)
-
     def _policy(self, service: str) -> ServicePolicy | None:
         table = self.table_sink.table
         return table.services.get(service) if table else None
--- a/src/daisydyke/_mirror/_mirror.py
+++ b/src/daisydyke/_mirror/_mirror.py
@@ -5,10 +5,10 @@
 from typing import Protocol
 
 import curio
-from returns.result import Success
+from returns.result import Result, Success
 
 from .._ports import DecisionLog, Listing, Platform, StoredObject
-from ..exceptions import HistoryGoneError
+from ..exceptions import HistoryGoneError, PlatformError
 from ._store_health import StoreHealth
 
 _WATCH_TIMEOUT_S = 29.0
@@ -40,6 +40,7 @@
     Attributes:
         version: store version up to which the mirror is current.
         last_change_version: highest version of any object seen.
+        watch_count: watches begun so far.
         listed: set once the mirror holds a listing.
     """
 
@@ -65,6 +66,9 @@
         self._sink_lock = curio.Lock()
         self.version = 0
         self.last_change_version = 0
+        self.watch_count = 0
+        self._watch_task: curio.Task | None = None
+        self._is_renewing = False
         self.listed = curio.Event()
 
     @property
@@ -84,6 +88,12 @@
             else:
                 await self._list()
 
+    async def renew_watch(self) -> None:
+        """End the open watch, if there is one; the next one follows."""
+        if self._watch_task is not None:
+            self._is_renewing = True
+            await self._watch_task.cancel()
+
     async def apply_listing(self, listing: Listing, source: str) -> bool:
         """Replace all objects if the listing is newer than the mirror.
 
@@ -122,11 +132,9 @@
 
     async def _watch(self) -> None:
         after = self.version
-        outcome = await self._platform.watch(
-            (self._kind,),
-            after,
-            _WATCH_TIMEOUT_S,
-        )
+        outcome = await self._run_watch(after)
+        if outcome is None:
+            return
         if isinstance(outcome, Success):
             self._health.record_success()
             await self._apply_changes(outcome.unwrap(), after)
@@ -139,6 +147,27 @@
             return
         await self._health.back_off(error)
 
+    async def _run_watch(
+        self, after: int
+    ) -> Result[Listing, PlatformError] | None:
+        """Return the outcome of a watch, None if it was renewed."""
+        self.watch_count += 1
+        self._watch_task = await curio.spawn(
+            self._platform.watch, (self._kind,), after, _WATCH_TIMEOUT_S
+        )
+        try:
+            return await self._watch_task.join()
+        except curio.TaskError as error:
+            if self._is_renewing:
+                return None
+            raise error.__cause__ or error
+        except curio.CancelledError:
+            await self._watch_task.cancel()
+            raise
+        finally:
+            self._watch_task = None
+            self._is_renewing = False
+
     async def _apply_changes(self, listing: Listing, after: int) -> None:
         async with self._sink_lock:
             # A listing from a member may have been applied during the watch.
--- a/src/daisydyke/_mirror/_store_health.py
+++ b/src/daisydyke/_mirror/_store_health.py
@@ -56,8 +56,8 @@
         self.lost_at = None
         self.regained_at = now
 
-    async def back_off(self, error: PlatformError) -> None:
-        """Record a failed call and wait until the next may be made.
+    def record_failure(self, error: PlatformError) -> None:
+        """Record a failed call without waiting.
 
         Parameters:
             error: reason of the failure, for the log.
@@ -65,6 +65,14 @@
         if self.lost_at is None:
             self.lost_at = self._clock.monotonic()
             self._log.record('store', state='lost', error=str(error))
+
+    async def back_off(self, error: PlatformError) -> None:
+        """Record a failed call and wait until the next may be made.
+
+        Parameters:
+            error: reason of the failure, for the log.
+        """
+        self.record_failure(error)
         async with self._retry_lock:
             if self.lost_at is None:
                 return
--- a/src/daisydyke/platform/_store.py
+++ b/src/daisydyke/platform/_store.py
@@ -29,6 +29,8 @@
 # Time after the wait of a watch in which the store must answer.
 _WATCH_MARGIN_S = 1.5
 _MS_PER_S = 1000
+# Sorts after the names of all objects, so that a list from it is empty.
+_LAST_NAME = '~'
 _ParsedT = TypeVar('_ParsedT')
 
 
@@ -170,6 +172,12 @@
             lambda response: _parse_version(name, expected, response),
         )
 
+    async def newest_version(self) -> Result[int, PlatformError]:
+        """Read the store's version, which may be seconds old."""
+        target = f'{_path(VM_KIND)}?after={_LAST_NAME}&serializable=1'
+        outcome = await self._call(HttpRequest('GET', target), _parse_page)
+        return outcome.map(lambda page: page.at_rev)
+
     async def list_vms(self) -> Result[tuple[VmRecord, ...], PlatformError]:
         """Read the registered entry VMs; the list may be seconds old."""
         objects: list[StoredObject] = []
