Let serving VMs learn from each other in a large fleet

Probes go to all members alike, so that with 15 serving VMs among 195 two of them meet every 50 s or so.

Change: a serving VM sends every other probe to a serving VM, with no more probes in all, and one meeting is enough: the relay waits a second and reads the copies if this VM is then still behind.

--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -102,7 +102,6 @@
         self.mirror_relay = MirrorRelay(
             self.mirrors,
             MirrorReader(),
-            self.clock,
             self.log,
         )
         self.membership = self._make_membership()
--- a/src/daisydyke/_members/_membership.py
+++ b/src/daisydyke/_members/_membership.py
@@ -35,6 +35,8 @@
 _SUSPICION_TIMEOUT_S = 2.0
 # A VM that stands by probes once in this number of periods.
 _STAND_BY_PERIODS = 3
+# A VM that serves probes another one that serves once in this number.
+_SERVING_PROBE_PERIODS = 2
 # Members that are pinged at once to pass on an update.
 _URGENT_PING_COUNT = 3
 
@@ -167,7 +169,9 @@
         for period in count():
             started = self._clock.monotonic()
             self._expire_suspicions()
-            target = self._next_target() if self._is_probe_due(period) else None
+            target = None
+            if self._is_probe_due(period):
+                target = self._next_target(period)
             if target is not None:
                 await self._probe(target)
             spent = self._clock.monotonic() - started
@@ -201,7 +205,9 @@
         )
         self._adopt(self._me)
 
-    def _next_target(self) -> Member | None:
+    def _next_target(self, period: int) -> Member | None:
+        if period % _SERVING_PROBE_PERIODS == 0 and not self.standing_by:
+            return self._choose_serving()
         while self._probe_order:
             member = self._members.get(self._probe_order.pop())
             if member is not None and member.status is not Status.DEAD:
@@ -215,6 +221,17 @@
         random.shuffle(self._probe_order)
         return None
 
+    def _choose_serving(self) -> Member | None:
+        """Choose a VM that serves requests.
+
+        VMs that serve have to learn from each other what has changed, however
+        many others stand by.
+        """
+        serving = [
+            member for member in self.addressable() if member != self._me
+        ]
+        return random.choice(serving) if serving else None  # noqa: S311
+
     async def _probe(self, target: Member) -> None:
         sequence = await self.ping(target.host)
         if await self._acks.wait(sequence, _ACK_TIMEOUT_S):
--- a/src/daisydyke/_mirror/_relay.py
+++ b/src/daisydyke/_mirror/_relay.py
@@ -15,7 +15,7 @@
 
 from .._adapters._datagrams import Digest, Member
 from .._domain._model import Address
-from .._ports import Clock, DecisionLog, Listing
+from .._ports import DecisionLog, Listing
 from ..exceptions import DaisydykeError
 from ._mirror import KindMirror
 
@@ -50,7 +50,6 @@
     Parameters:
         mirrors: the mirrors to update.
         peer_mirrors: reads the mirrors of other members.
-        clock: measures how long this VM has been behind.
         log: gets a record for each failed read.
     """
 
@@ -58,18 +57,14 @@
         self,
         mirrors: Sequence[KindMirror],
         peer_mirrors: PeerMirrorReader,
-        clock: Clock,
         log: DecisionLog,
     ) -> None:
         """Initialize with no member ahead of this VM."""
         self._mirrors = mirrors
         self._peer_mirrors = peer_mirrors
-        self._clock = clock
         self._log = log
         self._is_running = False
-        self._own_version = 0
         self._caught_up_version = 0
-        self._behind_since: float | None = None
         self._ahead: tuple[Member, int] | None = None
         self._wake = curio.Event()
 
@@ -84,18 +79,10 @@
         return 0
 
     async def on_digest_mismatch(self, member: Member, digest: Digest) -> None:
-        """Start to catch up once this VM has been behind for too long."""
-        if not self._is_running:
+        """Catch up if this VM remains behind for too long."""
+        if not self._is_running or not self._is_behind(digest.version):
             return
-        now = self._clock.monotonic()
-        if self.version != self._own_version:
-            self._own_version = self.version
-            self._behind_since = None
-        if digest.version <= max(self._own_version, self._caught_up_version):
-            return
-        if self._behind_since is None:
-            self._behind_since = now
-        if now - self._behind_since >= _MAX_NORMAL_LAG_S:
+        if self._ahead is None:
             self._ahead = (member, digest.version)
             await self._wake.set()
 
@@ -108,10 +95,14 @@
         self._is_running = True
         while True:
             await self._wake.wait()
-            if self._ahead is not None:
-                await self._catch_up(*self._ahead)
-            self._behind_since = None
             self._wake.clear()
+            await curio.sleep(_MAX_NORMAL_LAG_S)
+            if self._ahead is not None and self._is_behind(self._ahead[1]):
+                await self._catch_up(*self._ahead)
+            self._ahead = None
+
+    def _is_behind(self, version: int) -> bool:
+        return version > max(self.version, self._caught_up_version)
 
     async def _catch_up(self, member: Member, version: int) -> None:
         """Read all kinds from a member that reported this version.
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -82,7 +82,7 @@
             self.log,
             0.1,
         )
-        self.relay = MirrorRelay([self.mirror], peer_mirrors, clock, self.log)
+        self.relay = MirrorRelay([self.mirror], peer_mirrors, self.log)
 
     async def run_with_gossip(self, version: int, seconds: float) -> None:
         """Run for some seconds while a member gossips this version."""
