--- a/stand_ins/object_store.py
+++ b/stand_ins/object_store.py
@@ -29,6 +29,7 @@
         compacted_revision: watches from an earlier revision get 410 Gone.
         status: if set, the status of the response to every call.
         silent: calls are never answered.
+        silent_kinds: kinds whose calls are never answered.
         loses_writes: writes take effect but are never answered.
         calls: method and target of each call, in order.
     """
@@ -39,6 +40,7 @@
         self.compacted_revision = 0
         self.status: HTTPStatus | None = None
         self.silent = False
+        self.silent_kinds: frozenset[str] = frozenset()
         self.loses_writes = False
         self.calls: list[str] = []
         self._objects: dict[str, dict[str, dict[str, object]]] = {}
@@ -79,12 +81,12 @@
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         self.calls.append(f'{request.method} {request.target}')
-        if self.silent:
+        url = urlsplit(request.target)
+        kind, _, name = url.path.removeprefix(_ROOT).partition('/')
+        if self.silent or kind in self.silent_kinds:
             await curio.Event().wait()
         if self.status is not None:
             return _answer(self.status, {'error': 'fault'})
-        url = urlsplit(request.target)
-        kind, _, name = url.path.removeprefix(_ROOT).partition('/')
         query = {name: texts[0] for name, texts in parse_qs(url.query).items()}
         if request.method == 'GET':
             return await self._read(kind, unquote(name), query)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -25,23 +25,24 @@
 from stand_ins.object_store import ObjectStoreStandIn
 
 HOST = '127.0.0.1'
-STORE = Address(HOST, 19700)
-SERVER_PORT = 19710
+FIRST_PORT = 19700
+# From the first port to that of the first server.
+SERVER_PORT_OFFSET = 10
 SHARDS = ('s1', 's2', 's3')
 READY_TIMEOUT_S = 5
 
 
-def make_settings() -> NodeSettings:
-    """Return settings of a VM on loopback."""
+def make_settings(first_port: int = FIRST_PORT) -> NodeSettings:
+    """Return settings of a VM on loopback, whose store has the first port."""
     return NodeSettings(
         'vm-1',
         'north',
-        Address(HOST, 19701),
-        Address(HOST, 19702),
-        Address(HOST, 19703),
-        Address(HOST, 19704),
-        Address(HOST, 19705),
-        STORE,
+        Address(HOST, first_port + 1),
+        Address(HOST, first_port + 2),
+        Address(HOST, first_port + 3),
+        Address(HOST, first_port + 4),
+        Address(HOST, first_port + 5),
+        Address(HOST, first_port),
         ExtraLoadLimits(0.2, 100, 10),
         ColdLimits(1.5, 5),
         grace_s=0.5,
@@ -66,10 +67,12 @@
     )
 
 
-async def start_store_and_servers() -> ObjectStoreStandIn:
+async def start_store_and_servers(
+    first_port: int = FIRST_PORT,
+) -> ObjectStoreStandIn:
     """Start a store with a configuration, and a backend server per shard."""
     store = ObjectStoreStandIn()
-    await store.start(STORE)
+    await store.start(Address(HOST, first_port))
     route = {
         'host': HOST,
         'route_type': 'idempotent',
@@ -86,7 +89,7 @@
     configuration = {'version': 3, 'routes': routes, 'services': services}
     store.put('config', 'main', configuration)
     for number, name in enumerate(SHARDS):
-        port = SERVER_PORT + number
+        port = first_port + SERVER_PORT_OFFSET + number
         await HttpServer(serve_as_backend).start(Address(HOST, port))
         entry = {
             'service': name,
