Bound what the store and members send, and never read a copy as an answer

Reports of operators: a second copy of an answer, late, on a connection in use again; bytes without end.

Cause: HttpConnection, which reads the store, members' copies and the servers of daisydyke-entry, reused a connection on which bytes waited, so that a copy of the previous response was the answer to the next request, and every later answer came one request late. A copy that came during the next watch put older states into force: a server that had left was in use again. Interim responses and small chunks without end were read until the time-out, 30 s for a watch.

Excluded: a search of daisydyke-entry names its request in the answer, and a commit opens a connection of its own; both were safe.

Change: a connection with unread bytes is not reused; a response to a watch whose changes are not after the watched revision is a violation; overhead of a response is limited to 64 KiB and twice its body.

--- a/src/daisydyke/_adapters/_http_client.py
+++ b/src/daisydyke/_adapters/_http_client.py
@@ -9,15 +9,22 @@
 
 from .._domain._model import Address, HeaderFields
 from ..exceptions import ConnectionLostError, ProtocolViolationError
-from ._sockets import connect
+from ._sockets import connect, has_unread
 
 _READ_BYTES = 65536
 _MAXIMUM_BODY_BYTES = 1 << 24
+# Heads, interim responses, chunk sizes and trailers.
+_MAXIMUM_OVERHEAD_BYTES = 65536
+# Allows for bodies in small chunks.
+_OVERHEAD_PER_BODY_BYTE = 2
 
 
 class StreamSocket(Protocol):
     """The methods of a curio socket that the adapters use."""
 
+    def fileno(self) -> int:
+        """Return the file descriptor."""
+
     async def recv(self, maxsize: int) -> bytes:
         """Receive up to ``maxsize`` bytes; empty at the end of the stream."""
 
@@ -87,11 +94,22 @@
         self._socket: StreamSocket | None = None
         self._http = h11.Connection(h11.CLIENT)
         self._sent = False
+        self._received_bytes = 0
+        self._body_bytes = 0
 
     @property
     def reusable(self) -> bool:
-        """Whether the next request can use the open socket."""
-        return self._socket is not None and self._http.our_state is h11.IDLE
+        """Whether the next request can use the open socket.
+
+        It cannot after bytes that belong to no request, such as a second copy
+        of the previous response.
+        """
+        return (
+            self._socket is not None
+            and self._http.our_state is h11.IDLE
+            and not self._http.trailing_data[0]
+            and not has_unread(self._socket.fileno())
+        )
 
     @property
     def sent(self) -> bool:
@@ -104,8 +122,8 @@
         Raises:
             ConnectionLostError: the connection failed before the response
                 was complete; see ``sent``.
-            ProtocolViolationError: the response is not valid HTTP/1.1 or its
-                body is too large.
+            ProtocolViolationError: the response is not valid HTTP/1.1 or too
+                large.
         """
         self._sent = False
         try:
@@ -146,6 +164,8 @@
                 'connection closed while it was being opened'
             )
         payload = self._encode(request)
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._sent = True
         await stream.sendall(payload)
         return await self._read(stream)
@@ -181,11 +201,10 @@
 
     async def _read_body(self, stream: StreamSocket) -> bytes:
         parts: list[bytes] = []
-        size = 0
         event = await self._next_event(stream)
         while isinstance(event, h11.Data):
-            size += len(event.data)
-            if size > _MAXIMUM_BODY_BYTES:
+            self._body_bytes += len(event.data)
+            if self._body_bytes > _MAXIMUM_BODY_BYTES:
                 raise ProtocolViolationError('response body too large')
             parts.append(bytes(event.data))
             event = await self._next_event(stream)
@@ -198,10 +217,20 @@
     async def _next_event(self, stream: StreamSocket) -> h11.Event:
         event = self._http.next_event()
         while event is h11.NEED_DATA:
-            self._http.receive_data(await stream.recv(_READ_BYTES))
+            self._check_overhead()
+            received = await stream.recv(_READ_BYTES)
+            self._received_bytes += len(received)
+            self._http.receive_data(received)
             event = self._http.next_event()
         return event
 
+    def _check_overhead(self) -> None:
+        allowed = (
+            _MAXIMUM_OVERHEAD_BYTES + self._body_bytes * _OVERHEAD_PER_BODY_BYTE
+        )
+        if self._received_bytes - self._body_bytes > allowed:
+            raise ProtocolViolationError('response without an end')
+
     def _start_next_cycle(self) -> None:
         states = {self._http.our_state, self._http.their_state}
         if states == {h11.DONE}:
--- a/src/daisydyke/_adapters/_http_server.py
+++ b/src/daisydyke/_adapters/_http_server.py
@@ -203,7 +203,7 @@
         idle = (
             self._answer_task is None
             and not self._request_incomplete
-            and not has_unread(self._client)
+            and not has_unread(self._client.fileno())
         )
         if idle:
             await self._stop_reading()
--- a/src/daisydyke/_adapters/_sockets.py
+++ b/src/daisydyke/_adapters/_sockets.py
@@ -39,10 +39,14 @@
     return stream
 
 
-def has_unread(stream: curio.io.Socket) -> bool:
-    """Return whether bytes, or the end of the stream, can be read now."""
+def has_unread(descriptor: int) -> bool:
+    """Return whether bytes, or the end of the stream, can be read now.
+
+    Parameters:
+        descriptor: file descriptor of the socket.
+    """
     poller = select.poll()
-    poller.register(stream.fileno(), select.POLLIN)
+    poller.register(descriptor, select.POLLIN)
     return bool(poller.poll(0))
 
 
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -28,7 +28,6 @@
 from .._ports import Listing
 from .._requests._dispatch import DispatchDependencies
 from .._requests._model import ServicePolicy
-from .._requests._routes import RoutingTable
 from .._requests._service import RequestDependencies, RequestService
 from ..platform._callers import (
     CallerHandler,
@@ -215,7 +214,9 @@
         )
         return RequestDependencies(
             dispatch,
-            self._table_in_force,
+            # With a table alone, a restarted process would send requests to
+            # failure domains that are out of service.
+            lambda: self.table_sink.table if self.has_initial_data() else None,
             self.clock,
             self.log,
             self.metrics,
@@ -246,14 +247,6 @@
                 return mirror.listing()
         return None
 
-    def _table_in_force(self) -> RoutingTable | None:
-        """Return the routing table, None until all mirrors are loaded.
-
-        With a table alone, a restarted process would send requests to failure
-        domains that are out of service.
-        """
-        return self.table_sink.table if self.has_initial_data() else None
-
     def _policy(self, service: str) -> ServicePolicy | None:
         table = self.table_sink.table
         return table.services.get(service) if table else None
--- a/src/daisydyke/platform/_store.py
+++ b/src/daisydyke/platform/_store.py
@@ -19,6 +19,7 @@
     HistoryGoneError,
     PlatformError,
     PlatformUnavailableError,
+    ProtocolViolationError,
     VersionConflictError,
 )
 
@@ -142,7 +143,7 @@
         )
         return await self._call(
             HttpRequest('GET', target),
-            lambda response: _parse_events(kind, response),
+            lambda response: _parse_events(kind, after, response),
             wait + _WATCH_MARGIN_S,
             connection,
         )
@@ -304,8 +305,16 @@
     return msgspec.json.decode(response.body, type=_Page)
 
 
-def _parse_events(kind: str, response: HttpResponse) -> Listing:
+def _parse_events(kind: str, after: int, response: HttpResponse) -> Listing:
+    """Decode the response to a watch.
+
+    Raises:
+        ProtocolViolationError: it belongs to an earlier watch, such as a
+            second copy of that response.
+    """
     page = msgspec.json.decode(response.body, type=_Events)
+    if page.events and page.at_rev <= after:
+        raise ProtocolViolationError('response to an earlier watch')
     changes = [
         StoredObject(
             kind,
--- a/stand_ins/object_store.py
+++ b/stand_ins/object_store.py
@@ -26,7 +26,6 @@
 
     Parameters:
         revision: revision of the latest change.
-        compacted_revision: watches from an earlier revision get 410 Gone.
         status: if set, the status of the response to every call.
         silent: calls are never answered.
         silent_kinds: kinds whose calls are never answered.
@@ -37,12 +36,13 @@
     def __init__(self) -> None:
         """Initialize without objects or faults."""
         self.revision = 10
-        self.compacted_revision = 0
         self.status: HTTPStatus | None = None
         self.silent = False
         self.silent_kinds: frozenset[str] = frozenset()
         self.loses_writes = False
         self.calls: list[str] = []
+        # Watches from an earlier revision get 410 Gone.
+        self._compacted_revision = 0
         self._objects: dict[str, dict[str, dict[str, object]]] = {}
         self._events: list[tuple[int, str, dict[str, object], bool]] = []
         self._server = HttpServer(self._handle)
@@ -76,7 +76,7 @@
 
     def compact(self) -> None:
         """Discard the history of changes, as the store's compaction does."""
-        self.compacted_revision = self.revision
+        self._compacted_revision = self.revision
         self._events.clear()
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
@@ -129,7 +129,7 @@
     ) -> HttpResponse:
         waited_s: float = 0
         while waited_s <= timeout_s:
-            if after < self.compacted_revision:
+            if after < self._compacted_revision:
                 return _answer(HTTPStatus.GONE, {'error': 'compacted'})
             events = [
                 {'object': stored, 'deleted': deleted}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import curio
+import msgspec
 from returns.result import Failure, Result, Success
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength, IsInstance, LessThan
@@ -20,6 +21,7 @@
 )
 from daisydyke.platform._store import VM_KIND, ObjectStore
 from stand_ins.object_store import ObjectStoreStandIn
+from tests.contract.test_http_client import RawServer, encode_response
 from tests.virtual_time import VirtualClock, run_virtual
 
 _PORTS = count(19500)
@@ -39,6 +41,13 @@
     return curio.run(_start_and_run)
 
 
+def _encode_watch_response(revision: int, state: str) -> bytes:
+    meta = {'name': 'i-1', 'revision': revision}
+    event = {'object': {'meta': meta, 'spec': state}}
+    body = {'events': [event], 'at_rev': revision}
+    return encode_response(msgspec.json.encode(body))
+
+
 class TestObjectStore(TestCase):
     """ObjectStore"""
 
@@ -123,6 +132,34 @@
 
         self.assertThat(run_scenario(_scenario).unwrap().objects, HasLength(1))
 
+    def test_copy_of_an_earlier_response(self) -> None:
+        """A response to an earlier watch, sent again late, changes nothing."""
+        first = _encode_watch_response(11, 'ready')
+        second = _encode_watch_response(12, 'draining')
+        server = RawServer(first, second, first, second)
+
+        async def _watch_thrice() -> list[Result]:
+            port = next(_PORTS)
+            await curio.spawn(
+                curio.tcp_server, '127.0.0.1', port, server.serve, daemon=True
+            )
+            await curio.sleep(0.05)
+            store = ObjectStore(Address('127.0.0.1', port))
+            outcomes = [
+                await store.watch(('servers',), after, 1)
+                for after in (10, 11, 12)
+            ]
+            return [*outcomes, await store.watch(('servers',), 11, 1)]
+
+        outcomes = curio.run(_watch_thrice)
+        for outcome in outcomes[:2]:
+            self.assertThat(outcome, IsInstance(Success))
+        self.assertThat(
+            outcomes[2].failure(), IsInstance(PlatformUnavailableError)
+        )
+        self.assertThat(outcomes[3].unwrap().version, Equals(12))
+        self.assertThat(server.connections, Equals(2))
+
     def test_connect_timeout(self) -> None:
         """A watch that cannot connect fails within the connect time-out."""
 
