Bound what callers hold open, and let the slowest give way

Cause: a caller that begins a request and never ends it held a connection and up to the limits of head and body until the time-out. 1,300 sockets with 256 KB each are more than the 152 to 552 MB of a VM, and once all descriptors were taken by such requests nobody else could connect, since only idle connections gave way.

Change: the server counts connections and the bytes of requests in transit. At a limit the connection that is idle for longest is closed, or else the one that has been receiving for longest; if nobody can give way, the request is refused as not run.

--- /dev/null
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -0,0 +1,310 @@
+"""One client connection of the HTTP server, read by a task of its own."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import curio
+import h11
+
+from .._domain._byte_budget import ByteBudget
+from .._ports import Clock
+from ._http_client import HttpRequest, HttpResponse
+from ._http_messages import check_framing, encode_response, decode_request
+from ._sockets import has_unread
+
+_READ_BYTES = 65536
+_MAXIMUM_PIPELINED_BYTES = 262144
+_RETRY_AFTER_S = 1
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Limits on requests and connections of clients.
+
+    Parameters:
+        head_bytes: largest size of a request head.
+        body_bytes: largest size of a request body.
+        head_timeout: longest time from the first byte of a request to its
+            last one, in seconds.
+        idle_timeout: longest time that a connection may wait for a request,
+            in seconds.
+    """
+
+    head_bytes: int = 16384
+    body_bytes: int = 65536
+    head_timeout: float = 5.0
+    idle_timeout: float = 60.0
+
+
+class _RequestTooLargeError(Exception):
+    """The body is larger than ``HttpLimits.body_bytes``."""
+
+
+@dataclass(slots=True)
+class ServerState:
+    """State that all connections of a server share.
+
+    Parameters:
+        handler: answers one request.
+        cancel_on_disconnect: whether the handler of a request is cancelled if
+            the client closes the connection.
+        clock: clock for the time-outs.
+        request_bytes: bounds what all connections together receive.
+        closing: whether each connection is closed with its next response.
+        requests_in_progress: number of requests that are being answered.
+    """
+
+    handler: Handler
+    cancel_on_disconnect: bool
+    clock: Clock
+    request_bytes: ByteBudget
+    closing: bool = False
+    requests_in_progress: int = 0
+
+
+# Closes another connection that has been receiving a request for long, to
+# free its bytes; returns whether there was one.
+MakeRoom = Callable[['ClientConnection'], Awaitable[bool]]
+
+
+class ClientConnection:
+    """Client connection with at most one request in progress.
+
+    Each request is answered by a task of its own while the reader task goes
+    on reading, so that it detects when the client closes the connection.
+    """
+
+    def __init__(
+        self,
+        state: ServerState,
+        client: curio.io.Socket,
+        limits: HttpLimits,
+        make_room: MakeRoom,
+    ) -> None:
+        """Initialize for a connection that has just been accepted."""
+        self.wait_started_at = state.clock.monotonic()
+        self._state = state
+        self._client = client
+        self._limits = limits
+        self._make_room = make_room
+        self._http = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=limits.head_bytes,
+        )
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+        self._held_bytes = 0
+        self._answer_task: curio.Task | None = None
+        self._reader_task: curio.Task | None = None
+        self._request_incomplete = False
+        self._stopped = False
+
+    @property
+    def receiving(self) -> bool:
+        """Whether a part of a request has arrived, and the rest has not."""
+        return (
+            self._request_incomplete
+            and self._answer_task is None
+            and not self._stopped
+        )
+
+    async def run(self) -> None:
+        """Serve requests until the connection is closed."""
+        self._reader_task = await curio.current_task()
+        try:
+            await self._read()
+        except (OSError, curio.CancelledError):
+            return
+        finally:
+            self._hold(0)
+            if self._answer_task is not None:
+                await self._end_answer_task(self._answer_task)
+
+    async def close_if_idle(self) -> bool:
+        """Close the connection if no byte of a request has arrived.
+
+        Returns:
+            Whether the connection is being closed.
+        """
+        idle = (
+            self._answer_task is None
+            and not self._stopped
+            and not self._request_incomplete
+            and not has_unread(self._client.fileno())
+        )
+        if idle:
+            await self._stop_reading()
+        return idle
+
+    async def close_if_overdue(self, now: float) -> None:
+        """Close the connection if a time-out of its limits has passed."""
+        limits = self._limits
+        timeout = (
+            limits.head_timeout
+            if self._request_incomplete
+            else limits.idle_timeout
+        )
+        overdue = now - self.wait_started_at > timeout
+        if overdue and self._answer_task is None:
+            await self._stop_reading()
+
+    async def close(self) -> None:
+        """Close the connection; what it holds is free at once."""
+        self._hold(0)
+        await self._stop_reading()
+
+    async def _read(self) -> None:
+        pipelined_bytes = 0
+        while True:
+            received = await self._client.recv(_READ_BYTES)
+            if not received:
+                return
+            if not await self._acquire(len(received)):
+                await self._send_error(HTTPStatus.SERVICE_UNAVAILABLE)
+                return
+            self._http.receive_data(received)
+            if self._answer_task is None:
+                pipelined_bytes = 0
+                if not await self._parse_or_send_error():
+                    return
+            else:
+                pipelined_bytes += len(received)
+                if pipelined_bytes > _MAXIMUM_PIPELINED_BYTES:
+                    return
+
+    async def _acquire(self, size: int) -> bool:
+        """Count received bytes, at the expense of slower clients if needed."""
+        while not self._state.request_bytes.try_acquire(size):
+            if not await self._make_room(self):
+                return False
+        self._held_bytes += size
+        return True
+
+    def _hold(self, size: int) -> None:
+        """Release all bytes but these."""
+        if size < self._held_bytes:
+            self._state.request_bytes.release(self._held_bytes - size)
+            self._held_bytes = size
+
+    async def _end_answer_task(self, answer_task: curio.Task) -> None:
+        if self._state.cancel_on_disconnect:
+            await answer_task.cancel()
+        else:
+            await answer_task.join()
+
+    async def _parse_or_send_error(self) -> bool:
+        """Parse the received data; return whether to go on reading."""
+        try:
+            return await self._parse()
+        except h11.RemoteProtocolError as error:
+            await self._send_error(error.error_status_hint)
+        except _RequestTooLargeError:
+            await self._send_error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        return False
+
+    async def _parse(self) -> bool:
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                await self._handle_incomplete_request()
+                return True
+            if isinstance(event, h11.Request):
+                check_framing(event)
+                self._head = event
+                self._body.clear()
+            elif isinstance(event, h11.Data):
+                self._append_to_body(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                await self._start_answer()
+                return True
+            else:
+                return False
+
+    def _append_to_body(self, chunk: bytes) -> None:
+        self._body.extend(chunk)
+        if len(self._body) > self._limits.body_bytes:
+            raise _RequestTooLargeError
+
+    async def _handle_incomplete_request(self) -> None:
+        incomplete = bool(self._http.trailing_data[0]) or self._head is not None
+        if incomplete and not self._request_incomplete:
+            self.wait_started_at = self._state.clock.monotonic()
+        self._request_incomplete = incomplete
+        if self._http.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(
+                status_code=HTTPStatus.CONTINUE,
+                headers=[],
+            )
+            await self._client.sendall(self._http.send(interim))
+
+    async def _start_answer(self) -> None:
+        head = self._head
+        if head is None:
+            return
+        self._head = None
+        self._request_incomplete = False
+        request = decode_request(head, bytes(self._body))
+        self._state.requests_in_progress += 1
+        self._answer_task = await curio.spawn(
+            self._answer(request),
+            daemon=True,
+        )
+
+    async def _answer(self, request: HttpRequest) -> None:
+        try:
+            response = await self._state.handler(request)
+            payload = encode_response(
+                self._http,
+                response,
+                last=self._state.closing,
+                bodiless=request.method == 'HEAD',
+            )
+            await self._client.sendall(payload)
+        except OSError:
+            await self._stop_reading()
+            return
+        finally:
+            self._state.requests_in_progress -= 1
+            self._answer_task = None
+        await self._finish_exchange()
+
+    async def _finish_exchange(self) -> None:
+        reusable = (
+            self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+            and not self._state.closing
+        )
+        if not reusable:
+            await self._stop_reading()
+            return
+        self._http.start_next_cycle()
+        self._hold(len(self._http.trailing_data[0]))
+        self.wait_started_at = self._state.clock.monotonic()
+        if (
+            self._http.trailing_data[0]
+            and not await self._parse_or_send_error()
+        ):
+            await self._stop_reading()
+
+    async def _stop_reading(self) -> None:
+        self._stopped = True
+        if self._reader_task is not None:
+            await self._reader_task.cancel(blocking=False)
+
+    async def _send_error(self, status: int) -> None:
+        if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        reason = HTTPStatus(status).phrase.lower().replace(' ', '_')
+        body = f'{{"code":"{reason}","outcome":"not_run"}}'.encode()
+        headers = {}
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            headers['retry-after'] = str(_RETRY_AFTER_S)
+        error_response = HttpResponse(status, body, headers)
+        await self._client.sendall(
+            encode_response(self._http, error_response, last=True),
+        )
--- a/src/daisydyke/_backends/_connection.py
+++ b/src/daisydyke/_backends/_connection.py
@@ -13,7 +13,7 @@
 from .._requests._model import ExchangeFailure, FailureReason, Reply
 from ..exceptions import ConnectionLostError, ProtocolViolationError
 from ._exchange import Exchange, ExchangeOutcome
-from ._reply_memory import ReplyMemory
+from .._domain._byte_budget import ByteBudget
 from ._server import BackendServer
 
 _READ_BYTES = 65536
@@ -96,7 +96,7 @@
         server: BackendServer,
         replies: ReplyStream,
         clock: Clock,
-        memory: ReplyMemory,
+        memory: ByteBudget,
         owner: ConnectionOwner,
     ) -> None:
         """Initialize without connecting; ``open`` connects."""
--- a/src/daisydyke/_backends/_pool.py
+++ b/src/daisydyke/_backends/_pool.py
@@ -10,7 +10,7 @@
 from .._requests._model import ExchangeFailure, Reply
 from ._connection import BackendConnection, ReplyStream
 from ._exchange import Exchange, ExchangeOutcome
-from ._reply_memory import ReplyMemory
+from .._domain._byte_budget import ByteBudget
 from ._server import BackendServer
 
 _SWEEP_INTERVAL_S = 0.1
@@ -53,7 +53,7 @@
         self._make_stream = make_stream
         self._connection_limit = connection_limit
         self._may_send = may_send
-        self._memory = ReplyMemory(reply_memory_bytes)
+        self._memory = ByteBudget(reply_memory_bytes)
         self._clock = clock
         self._log = log
         self.opened_count = 0
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -9,7 +9,6 @@
 from .._adapters._bounded_stream import BoundedStream
 from .._adapters._clock import RuntimeClock
 from .._adapters._datagrams import Member, Status, UdpGossip
-from .._adapters._http_server import HttpLimits, HttpServer
 from .._adapters._limited_log import LimitedDecisionLog
 from .._adapters._metrics import MetricsRegistry
 from .._adapters._mirror_exchange import MirrorHandler, MirrorReader
@@ -46,6 +45,7 @@
 from ..platform._servers import HttpReplyStream, encode_request
 from ..platform._settings import NodeSettings
 from ..platform._store import ObjectStore
+from ._gateway_servers import make_caller_server, make_server
 
 _WATCH_INTERVAL_S = 0.1
 # Longer, since each server changes its entry several times while it starts or
@@ -151,20 +151,22 @@
             self.clock,
         )
         self.request_service = RequestService(self._request_dependencies())
-        self.caller_server = HttpServer(
+        self.caller_server = make_caller_server(
+            settings,
             CallerHandler(self.request_service, self.clock).handle,
-            cancel_on_disconnect=True,
-            limits=self._limits,
+            lambda: self.table_sink.table,
         )
-        self.directory_server = HttpServer(
-            DirectoryHandler(self.address_book.addresses).handle
+        self.directory_server = make_server(
+            settings, DirectoryHandler(self.address_book.addresses).handle
         )
-        self.readiness_server = HttpServer(
-            ReadinessHandler(self.is_ready).handle
+        self.readiness_server = make_server(
+            settings, ReadinessHandler(self.is_ready).handle
         )
-        self.mirror_server = HttpServer(MirrorHandler(self._listing_of).handle)
-        self.metrics_server = HttpServer(
-            MetricsHandler(self.metrics.render).handle
+        self.mirror_server = make_server(
+            settings, MirrorHandler(self._listing_of).handle
+        )
+        self.metrics_server = make_server(
+            settings, MetricsHandler(self.metrics.render).handle
         )
 
     def is_ready(self) -> bool:
@@ -236,6 +238,8 @@
             'server_connections_opened': self.pool.opened_count,
             'server_protocol_violations': self.pool.violation_count,
             'requests_in_flight': self.caller_server.requests_in_progress,
+            'caller_connections': self.caller_server.connection_count,
+            'request_bytes_held': self.caller_server.held_bytes,
             'loop_lag_seconds': self.pool.loop_lag_s,
             'log_lines_left_out': self.log.suppressed_lines,
             'log_lines_dropped': self._log_stream.dropped_lines,
@@ -253,15 +257,3 @@
 
     def _alive_vms(self) -> list[str]:
         return [member.vm for member in self.membership.alive()]
-
-    def _limits(self) -> HttpLimits:
-        table = self.table_sink.table
-        if table is None:
-            return HttpLimits()
-        limits = table.limits
-        return HttpLimits(
-            limits.head_bytes,
-            limits.body_bytes,
-            limits.head_timeout,
-            limits.idle_timeout,
-        )
--- a/src/daisydyke/_backends/_reply_memory.py
+++ b/src/daisydyke/_domain/_byte_budget.py
@@ -1,10 +1,10 @@
-"""Bound on the memory that incomplete replies take in this process."""
+"""Bound on the memory that incomplete messages take in this process."""
 
 from __future__ import annotations
 
 
-class ReplyMemory:
-    """Counts the bytes of all replies that are being received.
+class ByteBudget:
+    """Counts the bytes of all messages that are being received.
 
     Parameters:
         limit: largest number of bytes that may be held at a time.
--- a/src/daisydyke/platform/_settings.py
+++ b/src/daisydyke/platform/_settings.py
@@ -16,6 +16,8 @@
 from ..exceptions import InvalidDocumentError
 
 _BYTES_PER_MB = 1048576
+# Descriptors that the platform reserves for files.
+_FILE_DESCRIPTORS = 200
 
 
 class _Listen(msgspec.Struct):
@@ -41,6 +43,8 @@
     # Factor on the speed of that core; the process still has a single core.
     cpu_cores: float = 1
     memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 256
+    # Descriptors of files and sockets together.
+    max_fds: Annotated[int, msgspec.Meta(gt=_FILE_DESCRIPTORS)] = 1024
 
 
 class _Store(msgspec.Struct):
@@ -81,6 +85,7 @@
             address.
         speed: processing speed of a process on this VM; 1 is a whole core.
         memory_bytes: memory that the process may use.
+        sockets: sockets that the process may open.
         first_start: whether all VMs start together, none having run before.
     """
 
@@ -98,6 +103,7 @@
     maximum_ttl_s: float
     speed: float
     memory_bytes: int
+    sockets: int
     first_start: bool
 
 
@@ -153,5 +159,6 @@
         bounds.ttl_max_s,
         settings.limits.cpu_share * settings.limits.cpu_cores,
         int(settings.limits.memory_mb * _BYTES_PER_MB),
+        settings.limits.max_fds - _FILE_DESCRIPTORS,
         settings.bootstrap,
     )
--- a/tests/contract/test_http_server.py
+++ b/tests/contract/test_http_server.py
@@ -9,8 +9,9 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, LessThan, StartsWith
 
+from daisydyke._adapters._client_connection import HttpLimits
 from daisydyke._adapters._http_client import HttpRequest, HttpResponse
-from daisydyke._adapters._http_server import HttpLimits, HttpServer
+from daisydyke._adapters._http_server import HttpCapacity, HttpServer
 from daisydyke._domain._model import Address
 
 _PORTS = count(19800)
@@ -254,3 +255,95 @@
 
 async def _open_another(client: curio.io.Socket) -> curio.io.Socket:
     return await curio.open_connection(*client.getpeername())
+
+
+CAPACITY = HttpCapacity(connections=40, request_bytes=200_000)
+UPLOAD_HEAD = b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n'
+SLOW_CLIENTS = 120
+SLOW_BODY = b'a' * 20_000
+
+
+class TestSlowClients(TestCase):
+    """Many clients begin a request and never complete it."""
+
+    def test_others_are_served(self) -> None:
+        """Whatever they send, another client gets its answer."""
+        for payload in (b'', b'G', UPLOAD_HEAD, UPLOAD_HEAD + SLOW_BODY):
+            answers, most_connections, most_bytes = curio.run(
+                _serve_beside_slow_clients, payload
+            )
+            for received in answers:
+                self.assertThat(received, StartsWith(b'HTTP/1.1 200'))
+            self.assertThat(
+                most_connections, LessThan(CAPACITY.connections + 1)
+            )
+            self.assertThat(most_bytes, LessThan(CAPACITY.request_bytes + 1))
+
+    def test_nobody_gives_way(self) -> None:
+        """A request for which there is no room is refused as not run."""
+
+        async def _send_too_much() -> bytes:
+            server, address = await _start_server()
+            client = await curio.open_connection(*address)
+            async with client:
+                head = UPLOAD_HEAD.replace(b'60000', b'250000')
+                await client.sendall(head + b'a' * 250_000)
+                return await read_all(client)
+
+        received = curio.run(_send_too_much)
+        self.assertThat(received, StartsWith(b'HTTP/1.1 503'))
+        self.assertThat(received, Contains(b'not_run'))
+
+    def test_bytes_of_answered_requests_are_free(self) -> None:
+        """After its answer, a request holds nothing."""
+
+        async def _send_one_by_one() -> int:
+            server, address = await _start_server()
+            client = await curio.open_connection(*address)
+            async with client:
+                for _ in range(5):
+                    await client.sendall(UPLOAD_HEAD + b'a' * 60_000)
+                    await client.recv(1000)
+            return server.held_bytes
+
+        self.assertThat(curio.run(_send_one_by_one), Equals(0))
+
+
+async def _answer_at_once(request: HttpRequest) -> HttpResponse:
+    return HttpResponse(200, b'')
+
+
+async def _start_server() -> tuple[HttpServer, tuple[str, int]]:
+    server = HttpServer(
+        _answer_at_once,
+        limits=lambda: HttpLimits(body_bytes=1 << 18),
+        capacity=CAPACITY,
+    )
+    address = ('127.0.0.1', next(_PORTS))
+    await server.start(Address(*address))
+    return server, address
+
+
+async def _serve_beside_slow_clients(
+    payload: bytes,
+) -> tuple[list[bytes], int, int]:
+    """Return answers to other clients, most connections and most bytes."""
+    server, address = await _start_server()
+    slow_clients: list[curio.io.Socket] = []
+    answers: list[bytes] = []
+    most_connections = 0
+    most_bytes = 0
+    for number in range(SLOW_CLIENTS):
+        slow = await curio.open_connection(*address)
+        slow_clients.append(slow)
+        await slow.sendall(payload)
+        await curio.sleep(0.002)
+        most_connections = max(most_connections, server.connection_count)
+        most_bytes = max(most_bytes, server.held_bytes)
+        if number % 30 == 29:
+            async with await curio.open_connection(*address) as client:
+                await client.sendall(LAST_REQUEST)
+                answers.append(await read_all(client))
+    for slow in slow_clients:
+        await slow.close()
+    return answers, most_connections, most_bytes
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -49,6 +49,7 @@
         maximum_ttl_s=5,
         speed=1,
         memory_bytes=1 << 28,
+        sockets=1024,
         first_start=False,
     )
 
