Read again what is allowed after a pause of the process

Report of operators: a process that had been paused for some seconds acted on a permission that had run out meanwhile; a machine that was only silent for a while was given up.

Cause: after SIGSTOP or without processor time for seconds, the requests that waited in the sockets were handled before the answers to the watches: by the old configuration, to servers that had left and to domains out of service. A suspicion that was open before the pause ended in the member's death at once, with its refutation unread.

Excluded: deadline and server are checked again when a request is sent, but the server's state is that of before the pause; windows of the extra-load budget and token buckets of cold servers run on the same clock and never grow by a pause; connection shares count dead members.

Suspicions begin anew after a pause.

What stays: the list of members that the directory answers from is not read again.

--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -111,10 +111,14 @@
     Waits forever afterwards, since ``supervise`` restarts a task that returns.
     """
     await _stand_by(gateway)
-    await _spawn(gateway, gateway.mirror_relay.run)
-    await _spawn(gateway, gateway.store_probe.run)
-    for mirror in gateway.mirrors:
-        await _spawn(gateway, mirror.run)
+    task_functions: tuple[TaskFunction, ...] = (
+        gateway.mirror_relay.run,
+        gateway.store_probe.run,
+        gateway.pause_guard.run,
+        *(mirror.run for mirror in gateway.mirrors),
+    )
+    for task_function in task_functions:
+        await _spawn(gateway, task_function)
     while not gateway.has_initial_data():
         await curio.sleep(_JOIN_POLL_INTERVAL_S)
     await gateway.membership.join()
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import sys
-import time
 from itertools import count
 
 from .._adapters._bounded_stream import BoundedStream
 from .._adapters._clock import RuntimeClock
-from .._adapters._datagrams import Member, Status, UdpGossip
+from .._adapters._datagrams import Status
 from .._adapters._limited_log import LimitedDecisionLog
 from .._adapters._metrics import MetricsRegistry
 from .._adapters._mirror_exchange import MirrorHandler, MirrorReader
@@ -18,8 +17,8 @@
 from .._backends._registry import ServerRegistry, UsableServers
 from .._backends._shares import FleetShares
 from .._members._address_book import AddressBook
-from .._members._membership import Membership
 from .._mirror._mirror import KindMirror
+from .._mirror._pause_guard import PauseGuard
 from .._mirror._relay import MirrorRelay
 from .._mirror._sinks import DomainSink, ServerSink, TableSink
 from .._mirror._store_health import StoreHealth
@@ -45,6 +44,7 @@
 from ..platform._servers import HttpReplyStream, encode_request
 from ..platform._settings import NodeSettings
 from ..platform._store import ObjectStore
+from ._gateway_membership import make_membership
 from ._gateway_servers import make_caller_server, make_server
 
 _WATCH_INTERVAL_S = 0.1
@@ -61,6 +61,7 @@
     Attributes:
         mirrors: copies of the store's objects, one for each kind.
         store_probe: renews watches that the store no longer answers.
+        pause_guard: brings the mirrors up to date after a pause.
         mirror_relay: updates the mirrors from other VMs.
         caller_server: serves the requests of callers.
         directory_server: serves the addresses that callers should use.
@@ -99,12 +100,15 @@
         self.store_probe = StoreProbe(
             self.store, self.mirrors, self.store_health
         )
+        self.pause_guard = PauseGuard(self.mirrors, self.clock, self.log)
         self.mirror_relay = MirrorRelay(
             self.mirrors,
             MirrorReader(),
             self.log,
         )
-        self.membership = self._make_membership()
+        self.membership = make_membership(
+            settings, self.mirror_relay, self.clock, self.log
+        )
         self.address_book = AddressBook(self.membership, settings.maximum_ttl_s)
         self._shares = FleetShares(
             settings.extra_load,
@@ -179,35 +183,13 @@
         listed = all(mirror.listed.is_set() for mirror in self.mirrors)
         return listed and self.table_sink.table is not None
 
-    def _make_membership(self) -> Membership:
-        settings = self.settings
-        start_ms = int(time.time() * 1000)
-        me = Member(
-            settings.vm,
-            settings.gossip.host,
-            settings.domain,
-            settings.callers.port,
-            settings.peers.port,
-            start_ms,
-            start_ms,
-            Status.JOINING,
-            settings.speed,
-        )
-        return Membership(
-            me,
-            UdpGossip(settings.gossip),
-            self.mirror_relay,
-            self.mirror_relay,
-            self.clock,
-            self.log,
-        )
-
     def _request_dependencies(self) -> RequestDependencies:
         dispatch = DispatchDependencies(
             self.pool,
             self._usable_servers.of_service,
             self._cold_admission.admit,
             self._shares.extra_load,
+            self.pause_guard.wait_until_current,
             encode_request,
             self.clock,
             self.log,
--- a/src/daisydyke/_members/_membership.py
+++ b/src/daisydyke/_members/_membership.py
@@ -33,6 +33,9 @@
 _ACK_TIMEOUT_S = 0.15
 _INDIRECT_PROBE_COUNT = 2
 _SUSPICION_TIMEOUT_S = 2.0
+# Suspicions are checked every period; a longer gap means that this VM did not
+# run, and could not receive a refutation.
+_MAX_CHECK_GAP_S = 1.0
 # A VM that stands by probes once in this number of periods.
 _STAND_BY_PERIODS = 3
 # A VM that serves probes another one that serves once in this number.
@@ -112,6 +115,7 @@
         self._log = log
         self._members: dict[str, Member] = {me.vm: me}
         self._suspected_at: dict[str, float] = {}
+        self._suspicions_checked_at = clock.monotonic()
         self._updates = UpdateBuffer()
         self._acks = PendingAcks()
         self._indirect_pings: dict[int, tuple[str, int]] = {}
@@ -353,6 +357,9 @@
 
     def _expire_suspicions(self) -> None:
         now = self._clock.monotonic()
+        if now - self._suspicions_checked_at > _MAX_CHECK_GAP_S:
+            self._suspected_at = dict.fromkeys(self._suspected_at, now)
+        self._suspicions_checked_at = now
         for vm, suspected_at in tuple(self._suspected_at.items()):
             if now - suspected_at >= _SUSPICION_TIMEOUT_S:
                 known = self._members[vm]
--- a/src/daisydyke/_mirror/_mirror.py
+++ b/src/daisydyke/_mirror/_mirror.py
@@ -12,6 +12,8 @@
 from ._store_health import StoreHealth
 
 _WATCH_TIMEOUT_S = 29.0
+# For a watch that only reads the changes up to now.
+_REFRESH_WATCH_TIMEOUT_S = 0.001
 
 
 class ObjectSink(Protocol):
@@ -69,6 +71,7 @@
         self.watch_count = 0
         self._watch_task: curio.Task | None = None
         self._is_renewing = False
+        self._refreshed: curio.Event | None = None
         self.listed = curio.Event()
 
     @property
@@ -94,6 +97,13 @@
             self._is_renewing = True
             await self._watch_task.cancel()
 
+    async def refresh(self) -> None:
+        """Read and apply the changes up to now."""
+        refreshed = curio.Event()
+        self._refreshed = refreshed
+        await self.renew_watch()
+        await refreshed.wait()
+
     async def apply_listing(self, listing: Listing, source: str) -> bool:
         """Replace all objects if the listing is newer than the mirror.
 
@@ -128,16 +138,20 @@
             return
         self._health.record_success()
         self._history_gone = False
+        refreshed = self._refreshed
         await self.apply_listing(outcome.unwrap(), 'store')
+        await self._end_refresh(refreshed)
 
     async def _watch(self) -> None:
         after = self.version
+        refreshed = self._refreshed
         outcome = await self._run_watch(after)
         if outcome is None:
             return
         if isinstance(outcome, Success):
             self._health.record_success()
             await self._apply_changes(outcome.unwrap(), after)
+            await self._end_refresh(refreshed)
             await curio.sleep(self._watch_interval)
             return
         error = outcome.failure()
@@ -152,8 +166,11 @@
     ) -> Result[Listing, PlatformError] | None:
         """Return the outcome of a watch, None if it was renewed."""
         self.watch_count += 1
+        timeout = _WATCH_TIMEOUT_S
+        if self._refreshed is not None:
+            timeout = _REFRESH_WATCH_TIMEOUT_S
         self._watch_task = await curio.spawn(
-            self._platform.watch, (self._kind,), after, _WATCH_TIMEOUT_S
+            self._platform.watch, (self._kind,), after, timeout
         )
         try:
             return await self._watch_task.join()
@@ -168,6 +185,14 @@
             self._watch_task = None
             self._is_renewing = False
 
+    async def _end_refresh(self, refreshed: curio.Event | None) -> None:
+        """End the refresh that was awaited when the call was made."""
+        if refreshed is None:
+            return
+        if self._refreshed is refreshed:
+            self._refreshed = None
+        await refreshed.set()
+
     async def _apply_changes(self, listing: Listing, after: int) -> None:
         async with self._sink_lock:
             # A listing from a member may have been applied during the watch.
--- a/src/daisydyke/_requests/_dispatch.py
+++ b/src/daisydyke/_requests/_dispatch.py
@@ -4,7 +4,7 @@
 
 import heapq
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from itertools import count
 from typing import Protocol
@@ -66,6 +66,8 @@
         admit: returns whether a server may be sent one more request now; the
             admitted request counts toward the limit of a cold server.
         extra_load: returns the budget for hedges and retries of a service.
+        wait_until_current: returns once the changes made during a pause of
+            this process, if there was one, are known.
         domain: failure domain of this VM.
         sequence_numbers: source of exchange numbers and of the order of
             timers that are due at the same time.
@@ -75,6 +77,7 @@
     candidates: ServerLookup
     admit: AdmissionCheck
     extra_load: Callable[[str], ExtraLoadBudget]
+    wait_until_current: Callable[[], Awaitable[None]]
     make_encoder: RequestEncoderFactory
     clock: Clock
     log: DecisionLog
@@ -203,7 +206,9 @@
             wake_at = min(wake_at, self._schedule.partial_answer_at)
         if self._timers:
             wake_at = min(wake_at, self._timers[0][0])
-        for exchange, outcome in await self._outcomes.wait(wake_at - now):
+        ended = await self._outcomes.wait(wake_at - now)
+        await self._dependencies.wait_until_current()
+        for exchange, outcome in ended:
             await self._handle_outcome(exchange, outcome)
         now = self._dependencies.clock.monotonic()
         while self._timers and self._timers[0][0] <= now:
--- a/src/daisydyke/_requests/_service.py
+++ b/src/daisydyke/_requests/_service.py
@@ -71,6 +71,7 @@
 
         The configuration in force at the start applies to the whole request.
         """
+        await self._dependencies.dispatch.wait_until_current()
         table = self._dependencies.current_table()
         if table is None:
             refusal = Refused('no_configuration', _RETRY_AFTER_UNCONFIGURED_S)
--- a/tests/gateway/test_connection.py
+++ b/tests/gateway/test_connection.py
@@ -346,6 +346,37 @@
         self.assertThat(run(scenario).may_have_run, Is(False))
 
 
+class TestSilentServer(TestCase):
+    """A server that is only slow to report goes on with its requests."""
+
+    def test_open_exchange_outlives_the_registration(self) -> None:
+        """The reply of a server whose registration lapsed is delivered."""
+
+        async def scenario(world: World) -> tuple[object, object]:
+            exchange = await world.send('r1', idempotent=False)
+            await world.pool.close_server(world.server)
+            world.allowed = False
+            early = await world.outcome(exchange)
+            await curio.sleep(0.5)
+            await world.reply(encode_reply('r1', b'own'))
+            return early, await world.outcome(exchange)
+
+        early, reply = run(scenario)
+        self.assertThat(early, Is(None))
+        self.assertThat(reply.body, Equals(b'own'))
+
+    def test_its_connection_is_not_used_again(self) -> None:
+        """After that reply, the connection does not become idle."""
+
+        async def scenario(world: World) -> int:
+            await world.send('r1')
+            await world.pool.close_server(world.server)
+            await world.reply(encode_reply('r1', b'own'))
+            return len(world.server.idle)
+
+        self.assertThat(run(scenario), Equals(0))
+
+
 async def _unsent(world: World) -> Exchange:
     with mock.patch.object(type(world.pool), 'submit', _submit_nothing):
         return await world.send('r1')
--- a/tests/load/backends.py
+++ b/tests/load/backends.py
@@ -182,6 +182,7 @@
 
     Attributes:
         extra_load_budgets: budget for hedges and retries by service.
+        on_wait: called when a request waits until this VM is current.
     """
 
     def __init__(
@@ -203,6 +204,7 @@
         self.extra_load_budgets: dict[str, ExtraLoadBudget] = {}
         self._limits = limits
         self._vm_count = vm_count
+        self.on_wait: Callable[[], None] = lambda: None
         self.table = RoutingTable(
             1,
             routes,
@@ -214,6 +216,7 @@
             lambda service: backends.servers.get(service, []),
             lambda server: True,
             self._extra_load,
+            self._wait_until_current,
             lambda request: lambda server_id, remaining: b'',
             clock,
             self.log,
@@ -252,6 +255,9 @@
         answer = await self.service.handle(request)
         return answer, self._clock.now - started
 
+    async def _wait_until_current(self) -> None:
+        self.on_wait()
+
     def _extra_load(self, service: str) -> ExtraLoadBudget:
         return self.extra_load_budgets.setdefault(
             service,
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -101,6 +101,25 @@
 
         run_virtual(scenario)
 
+    def test_pause_is_no_time_to_refute(self) -> None:
+        """A VM that was paused lets those that it suspects refute first."""
+
+        async def scenario(clock: VirtualClock) -> list[str]:
+            cluster = SimulatedCluster(clock)
+            nodes = await start_nodes(cluster, 5)
+            await curio.sleep(5)
+            paused = nodes[0].membership
+            paused._suspect(paused.members['entry1'])
+            clock.now += 10
+            await curio.sleep(3)
+            return [
+                str(event['status'])
+                for event in nodes[0].log.events('member')
+                if event['member'] == 'entry1'
+            ]
+
+        self.assertThat('dead' in run_virtual(scenario), Equals(False))
+
     def test_false_suspicion_is_refuted(self) -> None:
         """A VM cut off from one other VM is not considered dead."""
 
