--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -214,8 +214,8 @@
                 await self._handle_incomplete_request()
                 return True
             if isinstance(event, h11.Request):
-                check_framing(event)
                 self._head = event
+                check_framing(event)
                 self._body.clear()
             elif isinstance(event, h11.Data):
                 self._append_to_body(event.data)
@@ -306,5 +306,11 @@
             headers['retry-after'] = str(_RETRY_AFTER_S)
         error_response = HttpResponse(status, body, headers)
         await self._client.sendall(
-            encode_response(self._http, error_response, last=True),
+            encode_response(
+                self._http,
+                error_response,
+                last=True,
+                bodiless=self._head is not None
+                and self._head.method == b'HEAD',
+            ),
         )
--- a/tests/contract/test_http_server.py
+++ b/tests/contract/test_http_server.py
@@ -7,7 +7,13 @@
 
 import curio
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, LessThan, StartsWith
+from testtools.matchers import (
+    Contains,
+    EndsWith,
+    Equals,
+    LessThan,
+    StartsWith,
+)
 
 from daisydyke._adapters._client_connection import HttpLimits
 from daisydyke._adapters._http_client import HttpRequest, HttpResponse
@@ -236,6 +242,22 @@
             head, _, body = received.partition(b'\r\n\r\n')
             self.assertThat(body == b'', Equals(method == b'HEAD'), method)
 
+    def test_malformed_body_of_head(self) -> None:
+        """A HEAD request with a malformed body is rejected without a body."""
+
+        async def _scenario(server, handler, client, request=REQUEST):
+            await client.sendall(request)
+            return await read_all(client)
+
+        chunked = b'HEAD /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked'
+        for request in (
+            chunked + b'\r\n\r\nz\r\n',
+            chunked + b'\r\nContent-Length: 1\r\n\r\n',
+        ):
+            received = run_scenario(partial(_scenario, request=request))
+            self.assertThat(received, StartsWith(b'HTTP/1.1 400'))
+            self.assertThat(received, EndsWith(b'\r\n\r\n'))
+
     def test_accepting_survives_a_lack_of_descriptors(self) -> None:
         """After the process had no descriptor left, callers are served."""
 
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Property tests with generated input, against plain references."""
