--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -4,10 +4,22 @@
 
 import sys
 
-from specs import commit, configuration, lease
+from specs import (
+    commit,
+    configuration,
+    gateway_exchange,
+    gateway_mirror,
+    lease,
+)
 from specs.model import Verdict, check
 
-MODELS = (lease.MODEL, commit.MODEL, configuration.MODEL)
+MODELS = (
+    lease.MODEL,
+    commit.MODEL,
+    configuration.MODEL,
+    gateway_exchange.MODEL,
+    gateway_mirror.MODEL,
+)
 
 
 def main() -> int:
