Let callers keep addresses for two seconds

With addresses that are kept for 1 s and 1.2 requests a second of each caller, every other request has to ask first.

A VM that leaves goes on serving for 3.3 s of a grace time of 6, so callers still learn of it before.

--- a/src/daisydyke/_members/_address_book.py
+++ b/src/daisydyke/_members/_address_book.py
@@ -8,7 +8,7 @@
 from ._speed import select_fast
 
 # Also bounds how long callers keep the address of a VM that is gone.
-_ADDRESS_TTL_S = 1.0
+_ADDRESS_TTL_S = 2.0
 _MIN_LOCAL_VM_COUNT = 2
 _RUNNING_STATUSES = frozenset((Status.ALIVE, Status.JOINING, Status.SUSPECT))
 
