Count what the caller has waited before its request

Change: callers state how much of their timeout is left. What lacks to the longest that was stated on a route has passed, and is taken off the time for a partial answer, like the time for connecting; where too little is left, the answer waits for its parts as before.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -105,8 +105,7 @@
         self._stopped = False
         # Without data in flight, this is the time that the handshake took.
         self._round_trip_s = round_trip_time(client)
-        # The first request on a connection had to wait for the handshake.
-        self._transit_s = 2 * self._round_trip_s
+        self._connecting_s = self._round_trip_s
 
     @property
     def receiving(self) -> bool:
@@ -252,8 +251,10 @@
             return
         self._head = None
         self._request_incomplete = False
-        request = decode_request(head, bytes(self._body), self._transit_s)
-        self._transit_s = self._round_trip_s
+        request = decode_request(
+            head, bytes(self._body), self._round_trip_s, self._connecting_s
+        )
+        self._connecting_s = 0
         self._state.requests_in_progress += 1
         self._answer_task = await curio.spawn(
             self._answer(request),
--- a/src/daisydyke/_adapters/_http_client.py
+++ b/src/daisydyke/_adapters/_http_client.py
@@ -61,8 +61,10 @@
         headers: header fields by lower-case name.
         fields: all header fields as the server received them, in order and
             with lower-case names.
-        transit: seconds that connecting and the transport of the request and
-            of its response take, as far as the server knows.
+        round_trip: seconds that the transport of the request and of its
+            response takes, as far as the server knows.
+        connecting: seconds that opening the connection took, if this is its
+            first request.
     """
 
     method: str
@@ -70,7 +72,8 @@
     body: bytes = b''
     headers: dict[str, str] = field(default_factory=dict)
     fields: HeaderFields = ()
-    transit: float = 0
+    round_trip: float = 0
+    connecting: float = 0
 
 
 class HttpConnection:
--- a/src/daisydyke/_adapters/_http_messages.py
+++ b/src/daisydyke/_adapters/_http_messages.py
@@ -33,12 +33,13 @@
 
 
 def decode_request(
-    head: h11.Request, body: bytes, transit: float
+    head: h11.Request, body: bytes, round_trip: float, connecting: float
 ) -> HttpRequest:
     """Return a request whose body is complete.
 
     Parameters:
-        transit: see HttpRequest.
+        round_trip: see HttpRequest.
+        connecting: see HttpRequest.
     """
     headers = {
         name.decode('ascii'): text.decode('latin-1')
@@ -50,7 +51,8 @@
         body,
         headers,
         tuple(head.headers),
-        transit,
+        round_trip,
+        connecting,
     )
 
 
--- a/src/daisydyke/_requests/_model.py
+++ b/src/daisydyke/_requests/_model.py
@@ -110,8 +110,9 @@
         fields: end-to-end header fields to forward.
         received: monotonic time at which the whole request had been read.
         timeout: seconds for which the caller waits; None if not stated.
-        transit: seconds that connecting and the transport of the request and
-            of its answer take.
+        round_trip: seconds that the transport of the request and of its
+            answer takes.
+        connecting: seconds that the caller needed to connect for it.
     """
 
     request_id: str
@@ -123,7 +124,8 @@
     body: bytes
     received: float
     timeout: float | None
-    transit: float = 0
+    round_trip: float = 0
+    connecting: float = 0
 
 
 class FailureReason(StrEnum):
--- a/src/daisydyke/_requests/_service.py
+++ b/src/daisydyke/_requests/_service.py
@@ -25,11 +25,11 @@
 from ._records import greatest_records
 from ._routes import RoutingTable, choose_service
 
-# For this VM's own work on an answer, in addition to its transit.
+# For this VM's own work on an answer, in addition to its transport.
 _DEADLINE_MARGIN_S = 0.006
 _PARTIAL_ANSWER_MARGIN_S = 0.009
-# A distant caller gets a late answer rather than one without most shards.
-_MAXIMUM_TRANSIT_SHARE = 0.5
+# With less of the target latency left, the answer would lack most shards.
+_MINIMUM_TARGET_SHARE = 0.25
 _RETRY_AFTER_S = 0.25
 # Lack of a server or of retry budget lasts longer than overload: new servers
 # have to register, or the window of the extra-load budget has to advance.
@@ -67,6 +67,7 @@
         """Initialize without latency estimates; each route gets its own."""
         self._dependencies = dependencies
         self._latencies: dict[str, LatencyEstimate] = {}
+        self._longest_timeouts: dict[str, float] = {}
         self._random = random.Random()  # noqa: S311
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
@@ -129,16 +130,10 @@
         if request.timeout is not None:
             timeout = min(timeout, request.timeout)
         deadline = (
-            request.received + timeout - request.transit - _DEADLINE_MARGIN_S
+            request.received + timeout - request.round_trip - _DEADLINE_MARGIN_S
         )
-        transit = min(
-            request.transit, route.target_latency * _MAXIMUM_TRANSIT_SHARE
-        )
-        partial_answer_at = (
-            request.received
-            + route.target_latency
-            - transit
-            - _PARTIAL_ANSWER_MARGIN_S
+        partial_answer_at = request.received + self._partial_answer_time(
+            request, route
         )
         required_parts = 1
         if route.shards:
@@ -150,6 +145,34 @@
             deadline, partial_answer_at, required_parts, hedge_delay
         )
 
+    def _partial_answer_time(
+        self, request: CallerRequest, route: Route
+    ) -> float:
+        """Return after how many seconds an answer may leave shards out.
+
+        That is when the answer can just reach the caller within the target
+        latency. A caller that it cannot reach by then gets as much time for
+        its answer as others.
+        """
+        target = route.target_latency - _PARTIAL_ANSWER_MARGIN_S
+        before = max(request.connecting, self._waited_before(request, route))
+        left = target - before - request.round_trip
+        return target if left < target * _MINIMUM_TARGET_SHARE else left
+
+    def _waited_before(self, request: CallerRequest, route: Route) -> float:
+        """Return for how long the caller had waited when it sent a request.
+
+        Callers state how much of their timeout is left. The longest that has
+        been stated on a route is that of a caller which had not waited.
+        """
+        if request.timeout is None:
+            return 0
+        longest = max(
+            self._longest_timeouts.get(route.name, 0), request.timeout
+        )
+        self._longest_timeouts[route.name] = longest
+        return longest - request.timeout
+
     def _log_answer(
         self,
         request: CallerRequest,
--- a/src/daisydyke/platform/_callers.py
+++ b/src/daisydyke/platform/_callers.py
@@ -156,7 +156,8 @@
         request.body,
         now,
         _parse_timeout_s(request.headers.get(_headers.DEADLINE_MS.decode())),
-        request.transit,
+        request.round_trip,
+        request.connecting,
     )
 
 
--- a/tests/load/backends.py
+++ b/tests/load/backends.py
@@ -238,7 +238,8 @@
         timeout: float = 0.6,
         path: str = '/x',
         method: bytes = b'GET',
-        transit: float = 0,
+        round_trip: float = 0,
+        connecting: float = 0,
     ) -> tuple[CallerAnswer, float]:
         """Return the answer to one request and its duration in seconds."""
         started = self._clock.now
@@ -252,7 +253,8 @@
             b'',
             started,
             timeout,
-            transit,
+            round_trip,
+            connecting,
         )
         answer = await self.service.handle(request)
         return answer, self._clock.now - started
