Hedge a route first after half of its target latency

Servers of such a service did all work twice.

Change: half of the route's target latency until there are enough samples, so that a hedge still answers in time.

--- a/src/daisydyke/_domain/_latency.py
+++ b/src/daisydyke/_domain/_latency.py
@@ -60,17 +60,22 @@
     The samples of the current window and of the previous one count, so that
     an estimate rests on between one and two windows of recent samples.
 
-    ``hedge_delay`` and ``median`` are in seconds. They keep fixed initial
+    ``hedge_delay`` and ``median`` are in seconds. They keep their initial
     values until enough samples are recorded.
+
+    Parameters:
+        initial_hedge_delay: hedge delay without samples, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, initial_hedge_delay: float = _INITIAL_HEDGE_DELAY_S
+    ) -> None:
         """Initialize without samples, with the initial estimates."""
         self._current = _empty_histogram()
         self._previous = _empty_histogram()
         self._recorded = 0
-        self.hedge_delay = _INITIAL_HEDGE_DELAY_S
-        self.median = _INITIAL_HEDGE_DELAY_S / _MAXIMUM_DELAY_IN_MEDIANS
+        self.hedge_delay = initial_hedge_delay
+        self.median = initial_hedge_delay / _MAXIMUM_DELAY_IN_MEDIANS
 
     def record(self, seconds: float) -> None:
         """Add the latency of a sub-request.
--- a/src/daisydyke/_requests/_service.py
+++ b/src/daisydyke/_requests/_service.py
@@ -30,6 +30,8 @@
 _PARTIAL_ANSWER_MARGIN_S = 0.009
 # With less of the target latency left, the answer would lack most shards.
 _MINIMUM_TARGET_SHARE = 0.25
+# Share of the target latency; a hedge then still answers in time.
+_INITIAL_HEDGE_DELAY_SHARE = 0.5
 _RETRY_AFTER_S = 0.25
 # Lack of a server or of retry budget lasts longer than overload: new servers
 # have to register, or the window of the extra-load budget has to advance.
@@ -123,7 +125,13 @@
         return answer
 
     def _latency_estimate(self, route: Route) -> LatencyEstimate:
-        return self._latencies.setdefault(route.name, LatencyEstimate())
+        estimate = self._latencies.get(route.name)
+        if estimate is None:
+            estimate = LatencyEstimate(
+                route.target_latency * _INITIAL_HEDGE_DELAY_SHARE
+            )
+            self._latencies[route.name] = estimate
+        return estimate
 
     def _schedule(self, request: CallerRequest, route: Route) -> Schedule:
         timeout = route.timeout
