--- a/tests/contract/test_sockets.py
+++ b/tests/contract/test_sockets.py
@@ -2,9 +2,9 @@
 
 import curio
 from testtools import TestCase
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 
-from daisydyke._adapters._sockets import connect
+from daisydyke._adapters._sockets import connect, round_trip_time
 
 # Time within which a new configuration must be in force on all VMs.
 CONFIGURATION_DEADLINE_S = 3
@@ -55,3 +55,29 @@
         """A request that must not be repeated survives a partition."""
         keepalive, _, user_timeout_ms = curio.run(_read_options, False)
         self.assertThat((keepalive, user_timeout_ms), Equals((0, 0)))
+
+
+class TestRoundTripTime(TestCase):
+    """round_trip_time()"""
+
+    def test_loopback(self) -> None:
+        """The kernel's estimate is returned for a TCP connection."""
+
+        async def _measure() -> float:
+            listener = curio.tcp_server_socket('127.0.0.1', 0)
+            async with listener:
+                near = await connect(*listener.getsockname())
+                far, _ = await listener.accept()
+                async with near, far:
+                    return round_trip_time(far)
+
+        measured = curio.run(_measure)
+        self.assertThat(measured, GreaterThan(0))
+        self.assertThat(measured, LessThan(1))
+
+    def test_unknown(self) -> None:
+        """It is 0 for a socket that is not TCP."""
+        near, far = curio.socket.socketpair()
+        self.assertThat(round_trip_time(near), Equals(0))
+        for end in (near, far):
+            curio.run(end.close)
