Trace the membership test that failed once, and list what it showed

Trace, 250 seeds: in 17 the suspected member was held dead, each time 2.0 s after the pause and never at once, so that it had the whole time to refute: the guard works, and the test waited 3 s, longer than it promises. Its refutation had been sent after 0.5 s and came after 2.5 s, since gossip chooses its receivers at random.

The test now looks at the time allowed, over 20 fixed seeds, and still fails without the guard.

--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import curio
 import msgspec
 from testtools import TestCase
@@ -18,6 +20,32 @@
     return {member.vm for member in node.membership.addressable()}
 
 
+SUSPICION_TIMEOUT_S = 2.0
+LATE_REFUTATION_SEED = 53
+
+
+async def _statuses_after_a_pause(
+    clock: VirtualClock, seed: int, seconds: float
+) -> list[str]:
+    """Return what a VM that was paused holds of a sound member it suspects.
+
+    Parameters:
+        seconds: time after the pause.
+    """
+    random.seed(seed)
+    nodes = await start_nodes(SimulatedCluster(clock), 5)
+    await curio.sleep(5)
+    paused = nodes[0].membership
+    paused._suspect(paused.members['entry1'])
+    clock.now += 10
+    await curio.sleep(seconds)
+    return [
+        str(event['status'])
+        for event in nodes[0].log.events('member')
+        if event['member'] == 'entry1'
+    ]
+
+
 class TestMembership(TestCase):
     """Membership of several nodes"""
 
@@ -102,23 +130,22 @@
         run_virtual(scenario)
 
     def test_pause_is_no_time_to_refute(self) -> None:
-        """A VM that was paused lets those that it suspects refute first."""
+        """A VM that was paused lets those that it suspects refute first.
 
-        async def scenario(clock: VirtualClock) -> list[str]:
-            cluster = SimulatedCluster(clock)
-            nodes = await start_nodes(cluster, 5)
-            await curio.sleep(5)
-            paused = nodes[0].membership
-            paused._suspect(paused.members['entry1'])
-            clock.now += 10
-            await curio.sleep(3)
-            return [
-                str(event['status'])
-                for event in nodes[0].log.events('member')
-                if event['member'] == 'entry1'
-            ]
-
-        self.assertThat('dead' in run_virtual(scenario), Equals(False))
+        They get the whole time for it after the pause.
+        """
+        for seed in range(20):
+            statuses = run_virtual(
+                _statuses_after_a_pause, seed, SUSPICION_TIMEOUT_S - 0.1
+            )
+            self.assertThat('dead' in statuses, Equals(False), seed)
+
+    def test_sound_member_is_not_given_up(self) -> None:
+        """A suspected member that runs is heard before it is given up."""
+        statuses = run_virtual(
+            _statuses_after_a_pause, LATE_REFUTATION_SEED, 3.0
+        )
+        self.assertThat('dead' in statuses, Equals(False))
 
     def test_false_suspicion_is_refuted(self) -> None:
         """A VM cut off from one other VM is not considered dead."""
