--- a/tests/load/backends.py
+++ b/tests/load/backends.py
@@ -105,6 +105,23 @@
         for server in self.servers[service]:
             self.behaviours[server.server_id] = ServerBehaviour()
 
+    def add_pausing_shards(
+        self, shards: int, interval: float, duration: float
+    ) -> None:
+        """Add shards named ``s0`` and so on, whose servers pause in turn.
+
+        Parameters:
+            interval: seconds from the start of a server's pause to its next.
+            duration: seconds of a pause.
+        """
+        for shard in range(shards):
+            self.add(f's{shard}')
+        for seed, server_id in enumerate(self.behaviours):
+            self.behaviours[server_id] = ServerBehaviour(
+                pause=duration / 2,
+                is_paused=periodic_pause(seed, interval, duration),
+            )
+
     def can_submit(self, server: BackendServer) -> bool:
         """Report a connection for every server."""
         return True
--- a/tests/load/test_distant_callers.py
+++ b/tests/load/test_distant_callers.py
@@ -11,7 +11,6 @@
     FakeBackends,
     ServerBehaviour,
     SimulatedGateway,
-    periodic_pause,
     sharded_route,
 )
 from tests.virtual_time import VirtualClock, run_virtual
@@ -35,13 +34,7 @@
     clock: VirtualClock, round_trip_s: float, waited_s: float
 ) -> tuple[list[float], list[Merged]]:
     backends = FakeBackends(clock)
-    for shard in range(SHARDS):
-        backends.add(f's{shard}')
-    for seed, server_id in enumerate(backends.behaviours):
-        backends.behaviours[server_id] = ServerBehaviour(
-            pause=PAUSE_S / 2,
-            is_paused=periodic_pause(seed, PAUSE_INTERVAL_S, PAUSE_S),
-        )
+    backends.add_pausing_shards(SHARDS, PAUSE_INTERVAL_S, PAUSE_S)
     route = sharded_route(
         SHARDS, target_latency=TARGET_S, minimum_shard_share=0.85
     )
--- a/tests/load/test_paused_shards.py
+++ b/tests/load/test_paused_shards.py
@@ -7,9 +7,7 @@
 from daisydyke._requests._model import Merged
 from tests.load.backends import (
     FakeBackends,
-    ServerBehaviour,
     SimulatedGateway,
-    periodic_pause,
     sharded_route,
 )
 from tests.virtual_time import VirtualClock, run_virtual
@@ -26,13 +24,7 @@
     clock: VirtualClock,
 ) -> tuple[FakeBackends, list[float], list[Merged]]:
     backends = FakeBackends(clock)
-    for shard in range(SHARDS):
-        backends.add(f's{shard}')
-    for seed, server_id in enumerate(backends.behaviours):
-        backends.behaviours[server_id] = ServerBehaviour(
-            pause=PAUSE_S / 2,
-            is_paused=periodic_pause(seed, PAUSE_INTERVAL_S, PAUSE_S),
-        )
+    backends.add_pausing_shards(SHARDS, PAUSE_INTERVAL_S, PAUSE_S)
     gateway = SimulatedGateway(clock, backends, [sharded_route(SHARDS)])
     durations = []
     answers = []
