Review case 5: a configuration whose answer is lost stays unknown for 30 s

Cause: the probe compares the store's version with the one at which it first saw the watch, not with the one from which the watch started. Change: review/5; no code is changed.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" && exec python3 case.py
