Close a server's socket only when no task uses it

Cause: the reading task closed the socket while the caller's task waited in sendall on it. curio kept that registration, and failed when the next socket got the same descriptor. The caller's task also had no deadline in sendall. Change: what the socket does not accept at once is sent by a task of the connection, which the reading task ends before it closes the socket. Evidence: tests/gateway/test_unread_requests.py on: FileNotFoundError from the event loop (early answer that closes, caller leaves), no reply on a new connection, and submit still waiting; all pass now. test_reset passed before too. Excluded: the early answer itself; any end of the connection did it.

--- a/src/daisydyke/_adapters/_sockets.py
+++ b/src/daisydyke/_adapters/_sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import select
 import struct
 
@@ -44,6 +45,21 @@
     return stream
 
 
+def send_now(stream: curio.io.Socket, payload: bytes) -> int:
+    """Send as much as the socket accepts without waiting.
+
+    Returns:
+        The number of bytes sent, which may be 0.
+
+    Raises:
+        OSError: the connection is lost.
+    """
+    try:
+        return os.write(stream.fileno(), payload)
+    except BlockingIOError:
+        return 0
+
+
 def has_unread(descriptor: int) -> bool:
     """Return whether bytes, or the end of the stream, can be read now.
 
--- a/src/daisydyke/_backends/_connection.py
+++ b/src/daisydyke/_backends/_connection.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from .._adapters._sockets import connect
+from .._adapters._sockets import connect, send_now
 from .._ports import Clock
 from .._requests._model import ExchangeFailure, FailureReason, Reply
 from ..exceptions import ConnectionLostError, ProtocolViolationError
@@ -74,10 +74,15 @@
 class BackendConnection:
     """Connection to a backend server that carries one exchange at a time.
 
-    The reading task runs as long as the connection. It therefore detects
-    that the server closes an idle connection, or sends bytes that belong to
-    no request, before the connection is reused. A connection that received
-    more than the reply to its exchange is not reused.
+    The reading task runs as long as the connection and alone closes the
+    socket. It detects that the server closes an idle connection, or sends
+    bytes that belong to no request, before the connection is reused. A
+    connection that received more than the reply to its exchange is not
+    reused.
+
+    What the socket does not accept of a request at once is sent by a task of
+    its own, so that neither the reading task nor the caller's request waits
+    for a server that does not read.
 
     Parameters:
         replies: parses the bytes received.
@@ -110,6 +115,7 @@
         self._owner = owner
         self._socket: curio.io.Socket | None = None
         self._task: curio.Task | None = None
+        self._sending_task: curio.Task | None = None
         self._closed = False
         self._received_bytes = 0
         self._replied = False
@@ -166,7 +172,20 @@
             raise ConnectionLostError('no longer allowed to send the request')
         payload = exchange.encoder(self.server.server_id, remaining)
         exchange.sent = True
-        await self._socket.sendall(payload)
+        written = send_now(self._socket, payload)
+        if written < len(payload):
+            self._sending_task = await curio.spawn(
+                self._send_rest(self._socket, payload[written:]), daemon=True
+            )
+
+    async def _send_rest(self, stream: curio.io.Socket, rest: bytes) -> None:
+        try:
+            await stream.sendall(rest)
+        except OSError:
+            # The reading task learns of it, after a reply that may have
+            # arrived before.
+            return
+        self._sending_task = None
 
     async def _run(self) -> None:
         reason = FailureReason.CLOSED
@@ -179,6 +198,17 @@
             self._owner.handle_violation(self, str(error))
         finally:
             await self._end(reason)
+            await self._close_socket()
+
+    async def _close_socket(self) -> None:
+        """Close the socket once no task waits for it.
+
+        The event loop would keep the registration of a waiting task, and fail
+        when the next socket gets the same descriptor.
+        """
+        async with curio.disable_cancellation():
+            if self._sending_task is not None:
+                await self._sending_task.cancel()
             if self._socket is not None:
                 await self._socket.close()
 
--- /dev/null
+++ b/tests/gateway/test_unread_requests.py
@@ -0,0 +1,133 @@
+"""Tests of requests that a server does not read to their end.
+
+A server may answer before it has read a long body, and then close the
+connection, or keep it and read on later, or never.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+from testtools import TestCase
+from testtools.matchers import Equals, Is, IsInstance
+
+from daisydyke._backends._exchange import Exchange
+from daisydyke._requests._model import Reply
+from tests.gateway.test_connection import World, encode_reply, run
+
+# More than the buffers of a socket hold.
+LONG_REQUEST = b'x' * (8 << 20)
+# Exchanges that follow, whose sockets get the descriptors that are free.
+FOLLOWING = 4
+OTHERS = [b'other' for _ in range(FOLLOWING)]
+
+
+def closing_reply(request_id: str) -> bytes:
+    """Return a refusal after which the server closes the connection."""
+    refusal = encode_reply(request_id, b'', 503)
+    return refusal.replace(b'\r\n', b'\r\nConnection: close\r\n', 1)
+
+
+async def _send_long(world: World) -> Exchange:
+    """Send a long request on a reused connection; the server reads nothing."""
+    await world.send('r1')
+    await world.reply(encode_reply('r1'))
+    await world.peers[0].recv(100)
+    sent: list[Exchange] = []
+
+    async def send() -> None:
+        sent.append(await world.send('long', encoder=_encode_long))
+
+    await curio.spawn(send, daemon=True)
+    await curio.sleep(0.01)
+    return world.server.connections.copy().pop().exchange or sent[0]
+
+
+def _encode_long(server_id: str, remaining_s: float) -> bytes:
+    return LONG_REQUEST
+
+
+async def _answers_of_others(world: World) -> list[bytes]:
+    """Return the answers to requests sent on new connections."""
+    exchanges = [await world.send(f'n{one}') for one in range(FOLLOWING)]
+    for number, _ in enumerate(exchanges, start=-FOLLOWING):
+        reply = encode_reply(f'n{number + FOLLOWING}', b'other')
+        await world.reply(reply, number)
+    outcomes: list[Any] = [await world.outcome(one) for one in exchanges]
+    return [outcome.body for outcome in outcomes]
+
+
+class TestClosedWhileSending(TestCase):
+    """The connection ends while a request is being sent (LOST).
+
+    The whole process ended, with all requests in it: the socket was closed
+    while a task still waited for it, and the next one got its descriptor.
+    """
+
+    def test_early_answer_that_closes(self) -> None:
+        """Other requests are answered after an early answer that closes."""
+
+        async def scenario(world: World) -> tuple[object, list[bytes]]:
+            exchange = await _send_long(world)
+            await world.reply(closing_reply('long'), 0)
+            await world.peers[0].close()
+            early = await world.outcome(exchange)
+            return early, await _answers_of_others(world)
+
+        early, others = run(scenario)
+        self.assertThat(early.not_run, Is(True))
+        self.assertThat(others, Equals(OTHERS))
+
+    def test_reset(self) -> None:
+        """Other requests are answered after the server has reset it."""
+
+        async def scenario(world: World) -> list[bytes]:
+            await _send_long(world)
+            await world.peers[0].close()
+            await curio.sleep(0.01)
+            return await _answers_of_others(world)
+
+        self.assertThat(run(scenario), Equals(OTHERS))
+
+    def test_caller_leaves(self) -> None:
+        """Other requests are answered after the caller has left."""
+
+        async def scenario(world: World) -> list[bytes]:
+            await world.pool.abandon(await _send_long(world))
+            await curio.sleep(0.01)
+            return await _answers_of_others(world)
+
+        self.assertThat(run(scenario), Equals(OTHERS))
+
+
+class TestServerThatDoesNotRead(TestCase):
+    """A server reads no more of a request (CONFIG: no answer in time)."""
+
+    def test_request_is_handed_over_at_once(self) -> None:
+        """The caller's request does not wait until the server reads."""
+
+        async def scenario(world: World) -> bool:
+            submitted = curio.Event()
+
+            async def send() -> None:
+                await world.send('long', encoder=_encode_long)
+                await submitted.set()
+
+            await world.send('r1')
+            await world.reply(encode_reply('r1'))
+            await curio.spawn(send, daemon=True)
+            await curio.sleep(0.01)
+            return submitted.is_set()
+
+        self.assertThat(run(scenario), Is(True))
+
+    def test_answer_on_a_new_connection(self) -> None:
+        """An early answer is read while the request is still being sent."""
+
+        async def scenario(world: World) -> object:
+            exchange = await world.send('long', encoder=_encode_long)
+            await world.reply(encode_reply('long', b'', 503))
+            return await world.outcome(exchange)
+
+        self.assertThat(run(scenario), IsInstance(Reply))
