Lend a connection again only when its request has been sent whole

Cause: a complete reply made the connection idle, although the rest of its request still waited for room in the socket. Change: a connection whose request is not sent whole when its reply ends is closed. The server has answered; reading the rest would only cost it time. Evidence: TestEarlyAnswer fails on (the connection is idle, with the request unsent) and without this change on the commit before; passes now. Excluded: finishing the body first, which needs a bound of its own for servers that never read on.

--- a/src/daisydyke/_backends/_connection.py
+++ b/src/daisydyke/_backends/_connection.py
@@ -280,7 +280,7 @@
             return
         if followed:
             self._owner.handle_violation(self, 'bytes after the reply')
-        if followed or self._foreign_replies or not reply.request_id:
+        if followed or not self._is_reusable(reply):
             reply = replace(reply, keep_alive=0)
         self._closed = self._closed or reply.keep_alive <= 0
         self._replied = True
@@ -290,6 +290,17 @@
         if exchange.outcomes is not None:
             await exchange.outcomes.put(exchange, reply)
 
+    def _is_reusable(self, reply: Reply) -> bool:
+        """Return whether the next request would be read as such.
+
+        A server that has answered before it has read the whole request would
+        take the next one for the rest of it.
+        """
+        sent_whole = self._sending_task is None
+        return (
+            sent_whole and bool(reply.request_id) and not self._foreign_replies
+        )
+
     def _set_idle(self, keep_alive: float) -> None:
         now = self._clock.monotonic()
         self.exchange = None
--- a/tests/gateway/test_unread_requests.py
+++ b/tests/gateway/test_unread_requests.py
@@ -131,3 +131,52 @@
             return await world.outcome(exchange)
 
         self.assertThat(run(scenario), IsInstance(Reply))
+
+
+class TestEarlyAnswer(TestCase):
+    """A server answers early, keeps the connection and reads on (UNASKED)."""
+
+    def test_nothing_else_is_sent_in_the_rest(self) -> None:
+        """No other request is sent where the rest of a body is due.
+
+        The connection was lent out while the first request was being sent, so
+        that the server found the second one inside the first one's body.
+        """
+
+        async def scenario(world: World) -> tuple[object, int, set[bytes]]:
+            exchange = await _send_long(world)
+            await world.reply(encode_reply('long', b'', 503), 0)
+            early = await world.outcome(exchange)
+            idle = len(world.server.idle)
+            await curio.spawn(world.send, 'r2', daemon=True)
+            await curio.sleep(0.01)
+            return early, idle, await _read_all(world.peers[0])
+
+        early, idle, received = run(scenario)
+        self.assertThat(early.not_run, Is(True))
+        self.assertThat(idle, Equals(0))
+        self.assertThat(received, Equals({ord('x')}))
+
+    def test_connection_is_reused_once_all_is_sent(self) -> None:
+        """A connection whose request was read whole is kept as before."""
+
+        async def scenario(world: World) -> int:
+            exchange = await _send_long(world)
+            reader = await curio.spawn(_read_all, world.peers[0], daemon=True)
+            await curio.sleep(0.01)
+            await world.reply(encode_reply('long'), 0)
+            await world.outcome(exchange)
+            await reader.cancel()
+            return len(world.server.idle)
+
+        self.assertThat(run(scenario), Equals(1))
+
+
+async def _read_all(peer: curio.io.Socket) -> set[int]:
+    """Read until nothing more comes; return the set of bytes."""
+    received: set[int] = set()
+    while True:
+        chunk = await curio.ignore_after(0.01, peer.recv, 1 << 20)
+        if not chunk:
+            return received
+        received.update(chunk)
