Free what a reply has brought with its connection

Cause: the reply stream and its parser refer to each other, so only the cyclic collector freed them, and it counts objects, not bytes. The byte budget was given back at the end of a connection, though the bytes were still held. Change: a stream is closed with its connection and drops parser, fields and body. A body is one buffer, dropped when its reply is complete. Nothing refers to the last bytes read while a connection waits, of servers or of callers; an idle caller's body and the store's refusals are dropped too. Excluded: a leak in curio or httptools; gc.collect() frees it all.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -99,6 +99,7 @@
         self._head: h11.Request | None = None
         self._body = bytearray()
         self._held_bytes = 0
+        self._pipelined_bytes = 0
         self._answer_task: curio.Task | None = None
         self._reader_task: curio.Task | None = None
         self._request_incomplete = False
@@ -162,23 +163,24 @@
         await self._stop_reading()
 
     async def _read(self) -> None:
-        pipelined_bytes = 0
-        while True:
-            received = await self._client.recv(_READ_BYTES)
-            if not received:
-                return
-            if not await self._acquire(len(received)):
-                await self._send_error(HTTPStatus.SERVICE_UNAVAILABLE)
-                return
-            self._http.receive_data(received)
-            if self._answer_task is None:
-                pipelined_bytes = 0
-                if not await self._parse_or_send_error():
-                    return
-            else:
-                pipelined_bytes += len(received)
-                if pipelined_bytes > _MAXIMUM_PIPELINED_BYTES:
-                    return
+        going_on = True
+        while going_on:
+            # Nothing refers to what was received while more is awaited.
+            going_on = await self._handle(await self._client.recv(_READ_BYTES))
+
+    async def _handle(self, received: bytes) -> bool:
+        """Handle received bytes; return whether to go on reading."""
+        if not received:
+            return False
+        if not await self._acquire(len(received)):
+            await self._send_error(HTTPStatus.SERVICE_UNAVAILABLE)
+            return False
+        self._http.receive_data(received)
+        if self._answer_task is not None:
+            self._pipelined_bytes += len(received)
+            return self._pipelined_bytes <= _MAXIMUM_PIPELINED_BYTES
+        self._pipelined_bytes = 0
+        return await self._parse_or_send_error()
 
     async def _acquire(self, size: int) -> bool:
         """Count received bytes, at the expense of slower clients if needed."""
@@ -254,6 +256,7 @@
         request = decode_request(
             head, bytes(self._body), self._round_trip_s, self._connecting_s
         )
+        self._body = bytearray()
         self._connecting_s = 0
         self._state.requests_in_progress += 1
         self._answer_task = await curio.spawn(
--- a/src/daisydyke/_backends/_connection.py
+++ b/src/daisydyke/_backends/_connection.py
@@ -47,6 +47,9 @@
     def finish(self) -> Reply | None:
         """Return the reply that the end of the stream completes, if any."""
 
+    def close(self) -> None:
+        """Free what is held of an incomplete reply."""
+
 
 class ConnectionOwner(Protocol):
     """Receives the events of a connection."""
@@ -222,16 +225,21 @@
             self._owner.handle_opened_idle(self)
         else:
             await self._send(self.exchange)
-        while True:
-            received = await self._socket.recv(_READ_BYTES)
-            if not received:
-                last = self._replies.finish()
-                await self._deliver([] if last is None else [last])
-                return FailureReason.CLOSED
+        # Nothing refers to what was received while more is awaited.
+        while await self._handle(await self._socket.recv(_READ_BYTES)):
+            if self._closed:
+                break
+        return FailureReason.CLOSED
+
+    async def _handle(self, received: bytes) -> bool:
+        """Handle received bytes; return whether the stream goes on."""
+        if received:
             self._count_received(received)
             await self._deliver(self._replies.feed(received))
-            if self._closed:
-                return FailureReason.CLOSED
+            return True
+        last = self._replies.finish()
+        await self._deliver([] if last is None else [last])
+        return False
 
     def _count_received(self, received: bytes) -> None:
         if self.exchange is None:
@@ -310,6 +318,7 @@
     async def _end(self, reason: FailureReason) -> None:
         self._closed = True
         self.server.connections.discard(self)
+        self._replies.close()
         self._release_received()
         exchange = self.exchange
         if exchange is None:
--- a/src/daisydyke/platform/_servers.py
+++ b/src/daisydyke/platform/_servers.py
@@ -69,11 +69,17 @@
 
 
 class HttpReplyStream:
-    """Incremental parser of the responses on one connection."""
+    """Incremental parser of the responses on one connection.
+
+    It holds no more of a body than was received of it, and nothing once the
+    reply is complete. The parser refers back to this object, so ``close`` is
+    needed to free both without the garbage collector.
+    """
 
     def __init__(self) -> None:
         """Initialize for a new connection."""
         self._parser = httptools.HttpResponseParser(self)
+        self._closed = False
         self._completed: list[Reply] = []
         self._bodiless = False
         self._maximum_body = _MAXIMUM_BODY_BYTES
@@ -82,8 +88,7 @@
         self._failed = False
         self._in_body = False
         self._fields: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body = bytearray()
 
     @property
     def has_excess(self) -> bool:
@@ -109,6 +114,8 @@
             ProtocolViolationError: the bytes are not a valid response or
                 exceed a limit, and complete no reply.
         """
+        if self._closed:
+            raise ProtocolViolationError('bytes after the end')
         self._received_bytes += len(received)
         try:
             self._parser.feed_data(received)
@@ -136,12 +143,17 @@
         self._in_body = False
         return self._to_reply(closes=True)
 
+    def close(self) -> None:
+        """Free what is held of an incomplete reply; nothing more is read."""
+        self._closed = True
+        self._in_body = False
+        self._parser = None
+        self._drop_message()
+
     def on_message_begin(self) -> None:
         """Begin a response; called by the parser."""
         self._in_message = True
-        self._fields = []
-        self._body = []
-        self._body_size = 0
+        self._drop_message()
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Add a header field; called by the parser."""
@@ -164,12 +176,11 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a chunk of the body; called by the parser."""
-        self._body_size += len(body)
-        if self._body_size > self._maximum_body:
+        if len(self._body) + len(body) > self._maximum_body:
             raise ProtocolViolationError(
                 f'response body exceeds {self._maximum_body} bytes',
             )
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Complete a response; called by the parser.
@@ -187,13 +198,16 @@
     def _complete(self, *, closes: bool) -> None:
         self._completed.append(self._to_reply(closes=closes))
         self._received_bytes = 0
-        self._body_size = 0
+        self._drop_message()
+
+    def _drop_message(self) -> None:
+        self._fields = []
+        self._body = bytearray()
 
     def _check_overhead(self) -> None:
-        allowed = (
-            _MAXIMUM_OVERHEAD_BYTES + self._body_size * _OVERHEAD_PER_BODY_BYTE
-        )
-        if self._received_bytes - self._body_size > allowed:
+        body_bytes = len(self._body)
+        allowed = _MAXIMUM_OVERHEAD_BYTES + body_bytes * _OVERHEAD_PER_BODY_BYTE
+        if self._received_bytes - body_bytes > allowed:
             raise ProtocolViolationError('response without an end')
 
     def _is_framed(self) -> bool:
@@ -207,7 +221,7 @@
         return Reply(
             status,
             tuple(self._fields),
-            b''.join(self._body),
+            bytes(self._body),
             _stamp(headers),
             _header_text(headers, _headers.REQUEST_ID),
             not_run or status == HTTPStatus.MISDIRECTED_REQUEST,
--- a/src/daisydyke/platform/_store.py
+++ b/src/daisydyke/platform/_store.py
@@ -236,7 +236,8 @@
                 response = await connection.request(request)
             outcome = Success(_check_and_parse(response, parse))
         except PlatformError as error:
-            outcome = Failure(error)
+            # The traceback refers to this frame, which holds the response.
+            outcome = Failure(error.with_traceback(None))
         except (
             DaisydykeError,
             curio.TaskTimeout,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -22,6 +22,13 @@
 from daisydyke.platform._store import VM_KIND, ObjectStore
 from stand_ins.object_store import ObjectStoreStandIn
 from tests.contract.test_http_client import RawServer, encode_response
+from tests.gateway.test_memory import (
+    BODIES,
+    BODY_BYTES,
+    SLACK_BYTES,
+    held_bytes,
+    without_collector,
+)
 from tests.virtual_time import VirtualClock, run_virtual
 
 _PORTS = count(19500)
@@ -160,6 +167,27 @@
         self.assertThat(outcomes[3].unwrap().version, Equals(12))
         self.assertThat(server.connections, Equals(2))
 
+    def test_refusals_are_freed(self) -> None:
+        """What the store sent with a refusal is not held after the call."""
+        gone = encode_response(b'x' * BODY_BYTES).replace(b'200', b'410', 1)
+        server = RawServer(*(gone for _ in range(BODIES)))
+
+        async def _watch_gone_history() -> int:
+            port = next(_PORTS)
+            await curio.spawn(
+                curio.tcp_server, '127.0.0.1', port, server.serve, daemon=True
+            )
+            await curio.sleep(0.05)
+            store = ObjectStore(Address('127.0.0.1', port))
+            before = held_bytes()
+            for _ in range(BODIES):
+                await store.watch(('servers',), 10, 1)
+            return held_bytes() - before
+
+        with without_collector():
+            held = curio.run(_watch_gone_history)
+        self.assertThat(held, LessThan(SLACK_BYTES))
+
     def test_connect_timeout(self) -> None:
         """A watch that cannot connect fails within the connect time-out."""
 
