Do not blame a server for a reply that nobody waits for

What callers saw: nothing at once; a server whose reply came just as a hedge or a caller's leaving ended its exchange counted as one that breaks the protocol, and so was chosen less. Cause: the reader was already woken when its connection closed, read on, and took the reply for bytes without a request. Change: a closed connection reads nothing more. Evidence: test_reply_after_the_request_was_given_up: 1 violation on, none now.

--- a/src/daisydyke/_backends/_connection.py
+++ b/src/daisydyke/_backends/_connection.py
@@ -233,6 +233,8 @@
 
     async def _handle(self, received: bytes) -> bool:
         """Handle received bytes; return whether the stream goes on."""
+        if self._closed:
+            return False
         if received:
             self._count_received(received)
             await self._deliver(self._replies.feed(received))
--- a/tests/gateway/test_connection.py
+++ b/tests/gateway/test_connection.py
@@ -210,6 +210,21 @@
         for parts in ((copy, copy[:20]), (copy + copy[:20],)):
             self.assertThat(run(scenario, *parts), Equals((b'body', 2, 1)))
 
+    def test_reply_after_the_request_was_given_up(self) -> None:
+        """A reply that arrives as its request is given up is no violation."""
+
+        async def scenario(world: World) -> int:
+            exchange = await world.send('r1')
+            await world.peers[0].sendall(encode_reply('r1'))
+            # The reply wakes up the reader, which runs after this task.
+            await curio.sleep(0)
+            await world.pool.abandon(exchange)
+            await curio.sleep(0.01)
+            violations = world.log.events('protocol_violation')
+            return len(violations)
+
+        self.assertThat(run(scenario), Equals(0))
+
     def test_violation_counts_against_the_server(self) -> None:
         """Bytes without a request make the server less likely to be used."""
 
