Let the answer task alone use a caller's socket until its end

What callers saw: with the limit on memory reached, a caller whose request was in progress got 503, the promise that it has not run, though it may have (REFUSED). Cause: the reading task answered for whatever was in progress; an answer task went on parsing and sending after it was marked as ended, so that the reading task could send at the same time, or close the socket under it. Change: while there is an answer task, it alone parses and sends, and the socket stays open until it has ended; a full VM then stops reading and lets it end. Evidence: tests/contract/test_caller_sockets.py fails on (503 for a request in progress, its handler cancelled; a task still sending when the connection has ended), passes now.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -77,6 +77,8 @@
 
     Each request is answered by a task of its own while the reader task goes
     on reading, so that it detects when the client closes the connection.
+    While there is an answer task, it alone parses what was received and sends
+    on the socket, and the socket stays open; otherwise the reader task does.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
             max_incomplete_event_size=limits.head_bytes,
         )
         self._head: h11.Request | None = None
+        self._next_request: HttpRequest | None = None
         self._body = bytearray()
         self._held_bytes = 0
         self._pipelined_bytes = 0
@@ -173,14 +176,24 @@
         if not received:
             return False
         if not await self._acquire(len(received)):
-            await self._send_error(HTTPStatus.SERVICE_UNAVAILABLE)
+            await self._refuse()
             return False
         self._http.receive_data(received)
         if self._answer_task is not None:
             self._pipelined_bytes += len(received)
             return self._pipelined_bytes <= _MAXIMUM_PIPELINED_BYTES
         self._pipelined_bytes = 0
-        return await self._parse_or_send_error()
+        if not await self._parse_or_send_error():
+            return False
+        await self._start_answer()
+        return True
+
+    async def _refuse(self) -> None:
+        """Refuse what is being received; a request in progress is answered."""
+        if self._answer_task is None:
+            await self._send_error(HTTPStatus.SERVICE_UNAVAILABLE)
+        else:
+            await self._answer_task.join()
 
     async def _acquire(self, size: int) -> bool:
         """Count received bytes, at the expense of slower clients if needed."""
@@ -225,7 +238,7 @@
             elif isinstance(event, h11.Data):
                 self._append_to_body(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                await self._start_answer()
+                self._take_request()
                 return True
             else:
                 return False
@@ -247,24 +260,40 @@
             )
             await self._client.sendall(self._http.send(interim))
 
-    async def _start_answer(self) -> None:
+    def _take_request(self) -> None:
         head = self._head
         if head is None:
             return
         self._head = None
         self._request_incomplete = False
-        request = decode_request(
+        self._next_request = decode_request(
             head, bytes(self._body), self._round_trip_s, self._connecting_s
         )
         self._body = bytearray()
         self._connecting_s = 0
-        self._state.requests_in_progress += 1
-        self._answer_task = await curio.spawn(
-            self._answer(request),
-            daemon=True,
-        )
 
-    async def _answer(self, request: HttpRequest) -> None:
+    async def _start_answer(self) -> None:
+        if self._next_request is not None:
+            self._answer_task = await curio.spawn(self._answer_all, daemon=True)
+
+    async def _answer_all(self) -> None:
+        """Answer a request, and those that arrive whole until its end."""
+        reusable = True
+        try:
+            while reusable and self._next_request is not None:
+                request = self._next_request
+                self._next_request = None
+                reusable = await self._answer(request)
+        except OSError:
+            reusable = False
+        finally:
+            self._answer_task = None
+        if not reusable:
+            await self._stop_reading()
+
+    async def _answer(self, request: HttpRequest) -> bool:
+        """Answer a request; return whether the connection stays open."""
+        self._state.requests_in_progress += 1
         try:
             response = await self._state.handler(request)
             payload = encode_response(
@@ -274,31 +303,25 @@
                 bodiless=request.method == 'HEAD',
             )
             await self._client.sendall(payload)
-        except OSError:
-            await self._stop_reading()
-            return
         finally:
             self._state.requests_in_progress -= 1
-            self._answer_task = None
-        await self._finish_exchange()
+        return await self._begin_next_cycle()
 
-    async def _finish_exchange(self) -> None:
+    async def _begin_next_cycle(self) -> bool:
+        """Parse what has arrived; return whether the connection stays open."""
         reusable = (
             self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and not self._state.closing
         )
         if not reusable:
-            await self._stop_reading()
-            return
+            return False
         self._http.start_next_cycle()
         self._hold(len(self._http.trailing_data[0]))
         self.wait_started_at = self._state.clock.monotonic()
-        if (
-            self._http.trailing_data[0]
-            and not await self._parse_or_send_error()
-        ):
-            await self._stop_reading()
+        if not self._http.trailing_data[0]:
+            return True
+        return await self._parse_or_send_error()
 
     async def _stop_reading(self) -> None:
         self._stopped = True
--- /dev/null
+++ b/tests/contract/test_caller_sockets.py
@@ -0,0 +1,108 @@
+"""Tests of who uses the socket of a caller's connection, and until when."""
+
+from __future__ import annotations
+
+import curio
+from testtools import TestCase
+from testtools.matchers import Equals, StartsWith
+
+from daisydyke._adapters._client_connection import (
+    ClientConnection,
+    HttpLimits,
+    ServerState,
+)
+from daisydyke._adapters._clock import RuntimeClock
+from daisydyke._adapters._http_client import HttpRequest, HttpResponse
+from daisydyke._domain._byte_budget import ByteBudget
+from tests.contract.test_http_server import (
+    REQUEST,
+    SlowHandler,
+    read_all,
+    run_scenario,
+)
+
+BUDGET_BYTES = 4096
+MALFORMED = b'no request\r\n\r\n'
+
+
+class UnreadClient:
+    """Socket of a caller that reads one answer and then closes.
+
+    Attributes:
+        sending: number of tasks that wait for the caller to read.
+    """
+
+    def __init__(self, stream: bytes) -> None:
+        """Initialize with what the caller sends at once."""
+        self._pieces = [stream]
+        self._answers = 0
+        self.sending = 0
+
+    async def recv(self, maxsize: int) -> bytes:
+        """Return what the caller sends, and then the end of the stream."""
+        if self._pieces:
+            return self._pieces.pop()
+        await curio.sleep(0.05)
+        return b''
+
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        """Tell nothing, as a socket that is not TCP."""
+        raise OSError
+
+    async def sendall(self, payload: bytes) -> None:
+        """Accept the first answer only."""
+        self._answers += 1
+        if self._answers == 1:
+            return
+        self.sending += 1
+        try:
+            await curio.sleep(1000)
+        finally:
+            self.sending -= 1
+
+
+async def _serve(client: UnreadClient) -> int:
+    """Serve a connection; return who still sends when it is closed."""
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        await curio.sleep(0.01)
+        return HttpResponse(200, b'ok')
+
+    async def make_room(connection: ClientConnection) -> bool:
+        return False
+
+    state = ServerState(handle, True, RuntimeClock(), ByteBudget(BUDGET_BYTES))
+    connection = ClientConnection(state, client, HttpLimits(), make_room)
+    await connection.run()
+    return client.sending
+
+
+class TestCallerSockets(TestCase):
+    """ClientConnection"""
+
+    def test_nobody_sends_after_the_end(self) -> None:
+        """No task waits for a socket that is about to be closed (LOST).
+
+        The event loop, and so the process, ended when the next socket got the
+        same descriptor.
+        """
+        client = UnreadClient(REQUEST + MALFORMED)
+        self.assertThat(curio.run(_serve, client), Equals(0))
+
+    def test_request_in_progress_is_not_refused(self) -> None:
+        """Bytes behind a request do not make its answer a refusal (REFUSED).
+
+        A request that had run was answered with the promise that it has not.
+        """
+
+        async def _scenario(server, handler: SlowHandler, client):
+            server._state.request_bytes = ByteBudget(BUDGET_BYTES)
+            await client.sendall(REQUEST)
+            await curio.sleep(0.05)
+            await client.sendall(b'x' * BUDGET_BYTES)
+            received = await read_all(client)
+            return received, handler.cancelled_count
+
+        received, cancelled = run_scenario(_scenario)
+        self.assertThat(received, StartsWith(b'HTTP/1.1 200 '))
+        self.assertThat(cancelled, Equals(0))
