Find a change whose delivery to a watch was lost

Cause: the probe compared the store's version with the one that it had read when it first saw the watch, so that a change between the two was taken for known. Change: it compares with the version from which the watch started. If the store is ahead, it reads the changes of the kind by a cheap call that does not wait; none: remembered; some: applied, and the watch renewed. Excluded: renewing each watch that is behind, as before: with any object of another kind changing that is a full call for each kind each 1.5 s.

--- a/src/daisydyke/_mirror/_mirror.py
+++ b/src/daisydyke/_mirror/_mirror.py
@@ -79,6 +79,11 @@
         """Kind of the mirrored objects."""
         return self._kind
 
+    @property
+    def watching(self) -> bool:
+        """Whether a watch waits for the store."""
+        return self._watch_task is not None
+
     def listing(self) -> Listing:
         """Return all mirrored objects and the version of the mirror."""
         return Listing(self.version, tuple(self._objects.values()))
@@ -131,6 +136,22 @@
         await self.listed.set()
         return True
 
+    async def apply_changes(self, listing: Listing, after: int) -> None:
+        """Apply changes unless the mirror has moved on meanwhile.
+
+        Parameters:
+            listing: changes, deletions with None as text.
+            after: version of the mirror when they were asked for. Another
+                read, or a listing from a member, may have been applied since.
+        """
+        async with self._sink_lock:
+            if after != self.version:
+                return
+            self._record_last_change(listing)
+            for stored in listing.objects:
+                await self._apply_change(stored)
+            self.version = max(self.version, listing.version)
+
     async def _list(self) -> None:
         outcome = await self._platform.list_objects((self._kind,))
         if not isinstance(outcome, Success):
@@ -150,7 +171,7 @@
             return
         if isinstance(outcome, Success):
             self._health.record_success()
-            await self._apply_changes(outcome.unwrap(), after)
+            await self.apply_changes(outcome.unwrap(), after)
             await self._end_refresh(refreshed)
             await curio.sleep(self._watch_interval)
             return
@@ -193,16 +214,6 @@
             self._refreshed = None
         await refreshed.set()
 
-    async def _apply_changes(self, listing: Listing, after: int) -> None:
-        async with self._sink_lock:
-            # A listing from a member may have been applied during the watch.
-            if after != self.version:
-                return
-            self._record_last_change(listing)
-            for stored in listing.objects:
-                await self._apply_change(stored)
-            self.version = max(self.version, listing.version)
-
     async def _apply_change(self, stored: StoredObject) -> None:
         if stored.text is None:
             self._objects.pop(stored.name, None)
--- a/src/daisydyke/_mirror/_store_probe.py
+++ b/src/daisydyke/_mirror/_store_probe.py
@@ -1,4 +1,4 @@
-"""Detects that the store has swallowed watches."""
+"""Detects that the store has swallowed watches or their answers."""
 
 from __future__ import annotations
 
@@ -8,7 +8,8 @@
 import curio
 from returns.result import Result, Success
 
-from ..exceptions import PlatformError
+from .._ports import Listing
+from ..exceptions import HistoryGoneError, PlatformError
 from ._mirror import KindMirror
 from ._store_health import StoreHealth
 
@@ -17,31 +18,40 @@
 _DELIVERY_S = 0.3
 
 
-class VersionSource(Protocol):
-    """Reads the version of the store."""
+class ChangeSource(Protocol):
+    """Reads from the store at little cost to it.
+
+    What it returns may be seconds old.
+    """
 
     async def newest_version(self) -> Result[int, PlatformError]:
-        """Read the store's version, which may be seconds old."""
+        """Read the store's version."""
+
+    async def read_changes(
+        self, kind: str, after: int
+    ) -> Result[Listing, PlatformError]:
+        """Read the changes of a kind after a version, without waiting."""
 
 
 class StoreProbe:
-    """Renews watches that the store no longer answers.
+    """Finds changes that the store has not delivered to a watch.
 
     A store that is overloaded or restarts may acknowledge a call and never
     answer it. A watch may wait for long, so its silence by itself shows
     nothing. This reads the store's version at intervals: a read that fails
-    shows that calls are lost, and a version that rises while a watch stays
-    silent shows that its answer may be.
+    shows that calls are lost. If the version rises above that of a mirror
+    whose watch stays silent, the change is of another kind, or its delivery
+    was lost; reading the changes of the kind tells which.
 
     Parameters:
-        source: supplies the version, at little cost to the store.
-        mirrors: mirrors whose watches are renewed.
+        source: supplies versions and changes.
+        mirrors: mirrors whose watches are checked.
         health: learns that the store is lost and regained.
     """
 
     def __init__(
         self,
-        source: VersionSource,
+        source: ChangeSource,
         mirrors: Sequence[KindMirror],
         health: StoreHealth,
     ) -> None:
@@ -50,9 +60,9 @@
         self._mirrors = mirrors
         self._health = health
         self._failing = False
-        # Number of watches and version of the store when the watch was first
-        # seen, by kind.
-        self._first_seen: dict[str, tuple[int, int]] = {}
+        # Version up to which a kind is known to have no change that its
+        # mirror lacks, by kind.
+        self._checked_versions: dict[str, int] = {}
 
     async def run(self) -> None:
         """Probe the store until cancelled."""
@@ -62,8 +72,11 @@
             if isinstance(outcome, Success):
                 await self._handle_version(outcome.unwrap())
             else:
-                self._failing = True
-                self._health.record_failure(outcome.failure())
+                self._record_failure(outcome.failure())
+
+    def _record_failure(self, error: PlatformError) -> None:
+        self._failing = True
+        self._health.record_failure(error)
 
     async def _handle_version(self, version: int) -> None:
         if not self._failing:
@@ -71,36 +84,44 @@
             return
         self._failing = False
         self._health.record_success()
-        await self._renew(self._mirrors)
+        for mirror in self._mirrors:
+            await mirror.renew_watch()
 
     async def _check(self, version: int) -> None:
         silent = [
-            mirror
+            (mirror, mirror.watch_count)
             for mirror in self._mirrors
-            if self._is_behind(mirror, version)
+            if mirror.watching and self._is_behind(mirror, version)
         ]
         if not silent:
             return
-        watch_counts = [mirror.watch_count for mirror in silent]
         await curio.sleep(_DELIVERY_S)
-        await self._renew(
-            [
-                mirror
-                for mirror, watch_count in zip(
-                    silent, watch_counts, strict=True
-                )
-                if mirror.watch_count == watch_count
-            ]
-        )
+        for mirror, watch_count in silent:
+            if mirror.watching and mirror.watch_count == watch_count:
+                await self._read_changes(mirror)
 
     def _is_behind(self, mirror: KindMirror, version: int) -> bool:
-        """Return whether the version rose since the watch was first seen."""
-        watch_count, first_version = self._first_seen.get(mirror.kind, (0, 0))
-        if watch_count != mirror.watch_count:
-            self._first_seen[mirror.kind] = (mirror.watch_count, version)
-            return False
-        return version > first_version
-
-    async def _renew(self, mirrors: Sequence[KindMirror]) -> None:
-        for mirror in mirrors:
+        checked = self._checked_versions.get(mirror.kind, 0)
+        return version > max(checked, mirror.version)
+
+    async def _read_changes(self, mirror: KindMirror) -> None:
+        after = mirror.version
+        outcome = await self._source.read_changes(mirror.kind, after)
+        if isinstance(outcome, Success):
+            await self._handle_changes(mirror, outcome.unwrap(), after)
+            return
+        error = outcome.failure()
+        if isinstance(error, HistoryGoneError):
+            # The next watch learns of it too, and a listing follows.
+            await mirror.renew_watch()
+        else:
+            self._record_failure(error)
+
+    async def _handle_changes(
+        self, mirror: KindMirror, changes: Listing, after: int
+    ) -> None:
+        if changes.objects:
+            await mirror.apply_changes(changes, after)
             await mirror.renew_watch()
+        else:
+            self._checked_versions[mirror.kind] = changes.version
--- a/src/daisydyke/platform/_store.py
+++ b/src/daisydyke/platform/_store.py
@@ -179,6 +179,24 @@
         outcome = await self._call(HttpRequest('GET', target), _parse_page)
         return outcome.map(lambda page: page.at_rev)
 
+    async def read_changes(
+        self, kind: str, after: int
+    ) -> Result[Listing, PlatformError]:
+        """Read the changes of a kind, which may lack those of some seconds.
+
+        Parameters:
+            after: store revision after which changes are returned.
+
+        Returns:
+            The changes, deletions with None as text, and the revision up to
+            which there are no others.
+        """
+        target = f'{_path(kind)}?watch={after}&wait_ms=1&serializable=1'
+        return await self._call(
+            HttpRequest('GET', target),
+            lambda response: _parse_events(kind, after, response),
+        )
+
     async def list_vms(self) -> Result[tuple[VmRecord, ...], PlatformError]:
         """Read the registered entry VMs; the list may be seconds old."""
         objects: list[StoredObject] = []
--- a/tests/load/test_silent_store.py
+++ b/tests/load/test_silent_store.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from itertools import product
 
 import curio
 from returns.result import Failure, Result, Success
@@ -28,6 +29,8 @@
 CALL_TIMEOUT_S = 1.5
 # How old the answer to a cheap read may be.
 STALE_S = 1.0
+# Times from the start of a probe's interval to a change.
+PROBE_PHASES_S = (0.0, 0.3, 0.6, 0.9, 1.2, 1.5)
 CALM_S = 60.0
 
 
@@ -38,8 +41,12 @@
         newest: listing of the only kind.
         version: version of the store, which other kinds also raise.
         silent: whether calls are swallowed.
-        lost_watches: number of watches whose answer gets lost.
+        lost_watches: number of watches that are lost from their start.
+        lost_deliveries: number of watches whose answer gets lost when a
+            change ends them.
+        lost_reads: number of reads of changes whose answer gets lost.
         watches: number of watches so far.
+        stale_s: how old the answers to cheap reads are.
     """
 
     def __init__(self, clock: VirtualClock) -> None:
@@ -49,7 +56,10 @@
         self._changes: list[tuple[float, int]] = [(0, 7)]
         self.silent = False
         self.lost_watches = 0
+        self.lost_deliveries = 0
+        self.lost_reads = 0
         self.watches = 0
+        self.stale_s = STALE_S
 
     def change(self, version: int) -> None:
         """Change the object."""
@@ -64,11 +74,25 @@
         """Return the version of some time ago."""
         if self.silent:
             return await self._swallow(CALL_TIMEOUT_S)
-        read_at = self._clock.now - STALE_S
+        read_at = self._clock.now - self.stale_s
         return Success(
             max(number for time, number in self._changes if time <= read_at)
         )
 
+    async def read_changes(
+        self, kind: str, after: int
+    ) -> Result[Listing, PlatformError]:
+        """Return the changes up to some time ago."""
+        is_lost = self.lost_reads > 0
+        self.lost_reads -= is_lost
+        if self.silent or is_lost:
+            return await self._swallow(CALL_TIMEOUT_S)
+        outcome = await self.newest_version()
+        version = outcome.unwrap()
+        if after < self.newest.version <= version:
+            return Success(Listing(version, self.newest.objects))
+        return Success(Listing(version, ()))
+
     async def list_objects(
         self, kinds: Sequence[str]
     ) -> Result[Listing, PlatformError]:
@@ -87,6 +111,10 @@
         ends_at = self._clock.now + wait
         while self.newest.version <= after and self._clock.now < ends_at:
             await curio.sleep(0.1)
+        if self.lost_deliveries:
+            self.lost_deliveries -= 1
+            left_s = ends_at - self._clock.now
+            return await self._swallow(left_s + CALL_TIMEOUT_S)
         return Success(self.newest)
 
     async def _swallow(self, timeout: float) -> Result[int, PlatformError]:
@@ -146,6 +174,32 @@
 
         self.assertThat(run_virtual(_scenario), LessThan(APPLY_LIMIT_S))
 
+    def test_lost_answer_before_the_next_probe(self) -> None:
+        """The answer to a watch that had just begun is lost (CONFIG).
+
+        The configuration before stayed in force for 30 s, since the probe
+        compared with what it found after the change.
+        """
+
+        async def _scenario(
+            clock: VirtualClock, phase_s: float, lost_reads: int
+        ) -> float:
+            store, mirror = await _start(clock)
+            store.stale_s = 0
+            await curio.sleep(phase_s)
+            store.change(8)
+            while mirror.version < 8:
+                await curio.sleep(0.05)
+            # The next watch has begun, and the next probe is yet to come.
+            await curio.sleep(0.2)
+            store.lost_deliveries = 1
+            store.lost_reads = lost_reads
+            return await _lag(clock, store, mirror)
+
+        for case in product(PROBE_PHASES_S, (0, 1)):
+            lag_s = run_virtual(_scenario, *case)
+            self.assertThat(lag_s, LessThan(CONTACT_S + APPLY_LIMIT_S), case)
+
     def test_changes_of_other_kinds(self) -> None:
         """A watch that has nothing to tell is renewed rarely."""
 
