Let an entry that cannot be read spoil itself alone

A port out of range named a server that every connection attempt failed for. Cause: a page was decoded as a whole; decoders recurse even into what they skip, and raise more than their own errors (RecursionError, ValueError); a number that fitted the model could not be converted (OverflowError). What was not caught ended the mirror, which read the same page again. Change: a page that cannot be decoded is split without recursion and decoded entry by entry; an odd one goes on under its name, and the reader of its kind rejects it by key, path and rule. All borders, those of daisydyke-entry too, catch one set of errors. Whole numbers have bounds, addresses are addresses.

--- a/src/daisydyke/_adapters/_backend.py
+++ b/src/daisydyke/_adapters/_backend.py
@@ -22,9 +22,15 @@
     SubRequest,
 )
 from .._ports import SubResult
-from ..exceptions import ConnectionLostError, DaisydykeError
+from ..exceptions import (
+    DECODING_ERRORS,
+    ConnectionLostError,
+    DaisydykeError,
+)
 from ._http_client import HttpConnection, HttpRequest, HttpResponse
 
+_RESPONSE_ERRORS = (DaisydykeError, *DECODING_ERRORS)
+_STATE_ERRORS = (curio.TaskTimeout, *_RESPONSE_ERRORS)
 _FAILURES_BY_CODE: Mapping[str, Failure] = MappingProxyType(
     {
         'cold': Failure.COLD,
@@ -101,7 +107,7 @@
             sent = self._http.sent
             await self.close()
             return Failed(SubFailure(Failure.LATE, sent))
-        except (DaisydykeError, msgspec.MsgspecError):
+        except _RESPONSE_ERRORS:
             sent = self._http.sent
             await self.close()
             return Failed(SubFailure(Failure.LOST, sent))
@@ -124,7 +130,7 @@
                     HttpRequest('GET', '/v1/state'),
                 )
             body = msgspec.json.decode(response.body, type=_StateBody)
-        except (DaisydykeError, curio.TaskTimeout, msgspec.MsgspecError):
+        except _STATE_ERRORS:
             await self.close()
             return Failed(SubFailure(Failure.LOST, sent=False))
         return Success(_to_state(body))
--- a/src/daisydyke/_adapters/_datagrams.py
+++ b/src/daisydyke/_adapters/_datagrams.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from .._domain._model import Address
+from ..exceptions import DECODING_ERRORS
 
 _MAXIMUM_DATAGRAM_BYTES = 1400
 
@@ -152,5 +153,5 @@
 def _decode(payload: bytes) -> Datagram | None:
     try:
         return _decoder.decode(payload)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return None
--- a/src/daisydyke/_adapters/_frames.py
+++ b/src/daisydyke/_adapters/_frames.py
@@ -11,7 +11,11 @@
 
 import msgspec
 
-from ..exceptions import ConnectionLostError, ProtocolViolationError
+from ..exceptions import (
+    DECODING_ERRORS,
+    ConnectionLostError,
+    ProtocolViolationError,
+)
 from ._http_client import StreamSocket
 
 _LENGTH_PREFIX = struct.Struct('>I')
@@ -217,7 +221,7 @@
         body = await self._read_exactly(size)
         try:
             return _decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             raise ProtocolViolationError(str(error)) from error
 
     async def close(self) -> None:
--- a/src/daisydyke/_adapters/_mirror_exchange.py
+++ b/src/daisydyke/_adapters/_mirror_exchange.py
@@ -18,6 +18,7 @@
 from .._domain._model import Address
 from .._ports import Listing, StoredObject
 from ..exceptions import (
+    DECODING_ERRORS,
     ConnectionLostError,
     DaisydykeError,
     ProtocolViolationError,
@@ -122,7 +123,7 @@
         raise ProtocolViolationError(f'status {response.status}')
     try:
         copy = _decoder.decode(response.body)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise ProtocolViolationError(str(error)) from error
     return Listing(
         copy.version,
--- a/src/daisydyke/_adapters/_platform.py
+++ b/src/daisydyke/_adapters/_platform.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import suppress
 from functools import partial
 from http import HTTPStatus
 from typing import TypeVar
@@ -15,14 +16,17 @@
 from .._domain._model import Address
 from .._ports import Listing, StoredObject, VmRecord
 from ..exceptions import (
+    DECODING_ERRORS,
     DaisydykeError,
     PlatformError,
     PlatformUnavailableError,
     VersionConflictError,
 )
 from ._http_client import HttpConnection, HttpRequest, HttpResponse
+from ._json_parts import split_array, split_object
 
 _CALL_TIMEOUT_S = 2.0
+_CALL_ERRORS = (DaisydykeError, curio.TaskTimeout, *DECODING_ERRORS)
 _ParsedT = TypeVar('_ParsedT')
 
 
@@ -159,11 +163,7 @@
             return Success(_check_and_parse(response, parse))
         except PlatformError as error:
             return Failure(error)
-        except (
-            DaisydykeError,
-            curio.TaskTimeout,
-            msgspec.MsgspecError,
-        ) as cause:
+        except _CALL_ERRORS as cause:
             return Failure(PlatformUnavailableError(str(cause)))
         finally:
             await connection.close()
@@ -197,10 +197,41 @@
 
 
 def _parse_listing(response: HttpResponse) -> Listing:
-    body = msgspec.json.decode(response.body, type=_ListBody)
+    try:
+        body = msgspec.json.decode(response.body, type=_ListBody)
+    except DECODING_ERRORS:
+        return _salvage_listing(response.body)
     return Listing(body.version, tuple(map(_to_object, body.objects)))
 
 
+def _salvage_listing(text: bytes) -> Listing:
+    """Decode a list of which single objects cannot be decoded."""
+    members = split_object(text)
+    version = msgspec.json.decode(members.get('version', b''), type=int)
+    return Listing(
+        version, tuple(_salvage_objects(members.get('objects', b'')))
+    )
+
+
+def _salvage_objects(text: bytes) -> Iterator[StoredObject]:
+    for item in split_array(text):
+        # Without a readable name, it is no document.
+        with suppress(KeyError, *DECODING_ERRORS):
+            yield _salvage_object(item)
+
+
+def _salvage_object(text: bytes) -> StoredObject:
+    members = split_object(text)
+    return _to_object(
+        _ObjectBody(
+            msgspec.json.decode(members['kind'], type=str),
+            msgspec.json.decode(members['name'], type=str),
+            msgspec.json.decode(members['version'], type=int),
+            msgspec.Raw(members.get('value', b'null')),
+        )
+    )
+
+
 def _parse_vms(response: HttpResponse) -> tuple[VmRecord, ...]:
     body = msgspec.json.decode(response.body, type=_VmListBody)
     return tuple(map(_to_vm, body.vms))
--- a/src/daisydyke/_adapters/_sockets.py
+++ b/src/daisydyke/_adapters/_sockets.py
@@ -37,7 +37,8 @@
     """
     try:
         stream = await curio.open_connection(host, port)
-    except OSError as error:
+    except (OSError, OverflowError) as error:
+        # The latter for a port that is out of range.
         raise ConnectionLostError(str(error)) from error
     disable_delay(stream)
     if detect_dead_peer:
--- a/src/daisydyke/_cli/_console.py
+++ b/src/daisydyke/_cli/_console.py
@@ -24,11 +24,13 @@
 from .._queries._callers import StatusBody
 from .._settings._documents import parse_address
 from ..exceptions import (
+    DECODING_ERRORS,
     DaisydykeError,
     InvalidDocumentError,
     VersionConflictError,
 )
 
+_STATUS_ERRORS = (DaisydykeError, curio.TaskTimeout, *DECODING_ERRORS)
 EXIT_FAILED = 1
 EXIT_INVALID = 2
 EXIT_CONFLICT = 3
@@ -148,7 +150,7 @@
                 HttpRequest('GET', '/v1/status'),
             )
         return msgspec.json.decode(response.body, type=StatusBody)
-    except (DaisydykeError, curio.TaskTimeout, msgspec.MsgspecError):
+    except _STATUS_ERRORS:
         return None
     finally:
         await connection.close()
--- a/src/daisydyke/_cli/_explain.py
+++ b/src/daisydyke/_cli/_explain.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ..exceptions import DECODING_ERRORS
 from ._explain_answer import AnswerLine, describe_answer
 
 
@@ -112,6 +113,6 @@
 
 def _decode_line(raw_line: bytes) -> DecisionLine | AnswerLine | None:
     for line_type in (AnswerLine, DecisionLine):
-        with suppress(msgspec.MsgspecError):
+        with suppress(*DECODING_ERRORS):
             return msgspec.json.decode(raw_line, type=line_type)
     return None
--- a/src/daisydyke/_commits/_commit.py
+++ b/src/daisydyke/_commits/_commit.py
@@ -34,6 +34,7 @@
 from .._queries._progress import ResultQueue
 from .._queries._query import MAXIMUM_TIMEOUT_S, usable_servers
 from ..exceptions import (
+    DECODING_ERRORS,
     BadRequestError,
     CallerError,
     KeyReusedError,
@@ -237,7 +238,7 @@
         try:
             request = msgspec.json.decode(body, type=CommitRequest)
             service, segment, plan = self._find_segment(request)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             return not_run_result(BadRequestError(str(error)))
         except CallerError as error:
             return not_run_result(error)
--- a/src/daisydyke/_limits/_fencing.py
+++ b/src/daisydyke/_limits/_fencing.py
@@ -13,6 +13,7 @@
 from .._ports import Clock, DecisionLog, Platform, StoredObject
 from .._settings._daemon import LeaseSettings
 from .._settings._documents import SessionDocument
+from ..exceptions import DECODING_ERRORS
 from ._session import SESSION_KIND
 
 _VM_LIST_INTERVAL_S = 5.0
@@ -118,9 +119,7 @@
     async def _end_session(
         self, holder: Holder, observed: StoredObject
     ) -> bool:
-        document = msgspec.json.decode(
-            observed.text or b'', type=SessionDocument
-        )
+        document = _decode(observed, holder)
         if document.start != holder.start or document.fenced:
             # The session is fenced already, or another process renews it.
             return True
@@ -132,3 +131,11 @@
             observed.version,
         )
         return isinstance(outcome, Success)
+
+
+def _decode(stored: StoredObject, holder: Holder) -> SessionDocument:
+    try:
+        return msgspec.json.decode(stored.text or b'', type=SessionDocument)
+    except DECODING_ERRORS:
+        # Another writer has replaced the session, which ends it as well.
+        return SessionDocument(holder.start, '')
--- a/src/daisydyke/_limits/_session.py
+++ b/src/daisydyke/_limits/_session.py
@@ -12,6 +12,7 @@
 from .._ports import Clock, DecisionLog, Platform, StoredObject
 from .._settings._daemon import LeaseSettings
 from .._settings._documents import SessionDocument
+from ..exceptions import DECODING_ERRORS
 
 SESSION_KIND = 'session'
 _RENEWALS_PER_TTL = 3
@@ -133,4 +134,8 @@
 def _decode(stored: StoredObject | None) -> SessionDocument | None:
     if stored is None or stored.text is None:
         return None
-    return msgspec.json.decode(stored.text, type=SessionDocument)
+    try:
+        return msgspec.json.decode(stored.text, type=SessionDocument)
+    except DECODING_ERRORS:
+        # Another writer has replaced it; the next renewal overwrites it.
+        return None
--- a/src/daisydyke/_queries/_callers.py
+++ b/src/daisydyke/_queries/_callers.py
@@ -23,6 +23,7 @@
 from .._peers._peers import PeerLinks
 from .._ports import Clock, DecisionLog, Metrics
 from ..exceptions import (
+    DECODING_ERRORS,
     BadRequestError,
     CallerError,
     EntryLeavingError,
@@ -374,7 +375,7 @@
 def _decode(body: bytes, model: type[_ModelT]) -> _ModelT:
     try:
         return msgspec.json.decode(body, type=model)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise BadRequestError(str(error)) from error
 
 
--- a/src/daisydyke/_settings/_documents.py
+++ b/src/daisydyke/_settings/_documents.py
@@ -15,7 +15,7 @@
     ServerSpec,
     ServiceSpec,
 )
-from ..exceptions import InvalidDocumentError
+from ..exceptions import DECODING_ERRORS, InvalidDocumentError
 
 _ModelT = TypeVar('_ModelT')
 _MSGSPEC_ERROR = re.compile(
@@ -23,9 +23,14 @@
 )
 
 Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
+_OCTET = '(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])'
+_PORT = (
+    '(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}'
+    '|[1-5][0-9]{4}|[1-9][0-9]{0,3})'
+)
 AddressText = Annotated[
     str,
-    msgspec.Meta(pattern=r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$'),
+    msgspec.Meta(pattern=rf'^{_OCTET}(\.{_OCTET}){{3}}:{_PORT}$'),
 ]
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -131,7 +136,7 @@
     """
     try:
         return Success(msgspec.json.decode(text, type=model))
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         return Failure(_to_document_error(source, str(error)))
 
 
--- a/src/daisydyke/platform/_documents.py
+++ b/src/daisydyke/platform/_documents.py
@@ -5,10 +5,9 @@
 from typing import Annotated, Literal
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from .._backends._server import ServerRecord
-from .._domain._model import Address
 from .._ports import StoredObject
 from .._requests._model import (
     CallerLimits,
@@ -17,7 +16,7 @@
     WeightedService,
 )
 from .._requests._routes import RoutingTable
-from .._settings._documents import decode, parse_address
+from .._settings._documents import AddressText, decode, parse_address
 from ..exceptions import InvalidDocumentError
 
 CONFIGURATION_KIND = 'config'
@@ -28,7 +27,10 @@
 
 _MS_PER_S = 1000
 
-PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
+# Whole numbers that convert to floats without loss.
+_MAXIMUM_INT = 9_007_199_254_740_992
+Int = Annotated[int, msgspec.Meta(ge=-_MAXIMUM_INT, le=_MAXIMUM_INT)]
+PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=_MAXIMUM_INT)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 PathPrefix = Annotated[str, msgspec.Meta(pattern='^/(.*/)?$')]
@@ -47,13 +49,13 @@
     timeout_ms: Milliseconds
     # Latency within which an answer is of full value; not a limit.
     target_latency_ms: Milliseconds
-    priority: int = 0
+    priority: Int = 0
     max_attempts: PositiveInt = 1
     service: str | None = None
     traffic_split: list[_SplitEntry] = msgspec.field(default_factory=list)
     # Services that each hold one shard and contribute a part of the answer.
     gather: list[str] = msgspec.field(default_factory=list)
-    top_k: int = 0
+    top_k: Int = 0
     min_shard_share: float = 0
 
 
@@ -74,7 +76,7 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -82,14 +84,14 @@
 
 class _Server(msgspec.Struct):
     service: NonEmptyText
-    address: Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]+$')]
+    address: AddressText
     zone: NonEmptyText
     # Requests that the server runs concurrently.
     capacity: PositiveInt
     state: Literal['ready', 'draining']
-    warmup_left_ms: Annotated[int, msgspec.Meta(ge=0)] = 0
+    warmup_left_ms: Annotated[int, msgspec.Meta(ge=0, le=_MAXIMUM_INT)] = 0
     # Start time of the server process in Unix milliseconds; 0 if unknown.
-    born: int = 0
+    born: Int = 0
 
 
 def decode_configuration(
@@ -118,29 +120,19 @@
     """
     source = f'{stored.kind}/{stored.name}'
     decoded = decode(stored.text or b'', _Server, source)
-    return decoded.bind(lambda server: _to_record(server, stored.name, source))
-
-
-def _to_record(
-    server: _Server,
-    server_id: str,
-    source: str,
-) -> Result[ServerRecord, InvalidDocumentError]:
-    try:
-        address: Address = parse_address(server.address)
-    except ValueError as error:
-        return Failure(InvalidDocumentError(source, '$.address', str(error)))
-    return Success(
-        ServerRecord(
-            server_id,
-            server.service,
-            address,
-            server.zone,
-            server.capacity,
-            server.state == 'draining',
-            server.warmup_left_ms / _MS_PER_S,
-            server.born,
-        ),
+    return decoded.map(lambda server: _to_record(server, stored.name))
+
+
+def _to_record(server: _Server, server_id: str) -> ServerRecord:
+    return ServerRecord(
+        server_id,
+        server.service,
+        parse_address(server.address),
+        server.zone,
+        server.capacity,
+        server.state == 'draining',
+        server.warmup_left_ms / _MS_PER_S,
+        server.born,
     )
 
 
--- a/src/daisydyke/platform/_store.py
+++ b/src/daisydyke/platform/_store.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from contextlib import suppress
+from functools import partial
 from http import HTTPStatus
 from typing import TypeVar
 from urllib.parse import quote
@@ -15,13 +17,21 @@
 from .._domain._model import Address
 from .._ports import Listing, StoredObject, VmRecord
 from ..exceptions import (
+    DECODING_ERRORS,
     DaisydykeError,
     HistoryGoneError,
     PlatformError,
     PlatformUnavailableError,
-    ProtocolViolationError,
     VersionConflictError,
 )
+from ._pages import (
+    Meta,
+    ObjectBody,
+    Page,
+    decode_events,
+    decode_object,
+    decode_page,
+)
 
 VM_KIND = 'entry-vms'
 
@@ -32,36 +42,10 @@
 _MS_PER_S = 1000
 # Sorts after the names of all objects, so that a list from it is empty.
 _LAST_NAME = '~'
+_CALL_ERRORS = (DaisydykeError, curio.TaskTimeout, *DECODING_ERRORS)
 _ParsedT = TypeVar('_ParsedT')
 
 
-class _Meta(msgspec.Struct):
-    name: str
-    # Revision of the store at which the object last changed.
-    revision: int = 0
-
-
-class _Object(msgspec.Struct):
-    meta: _Meta
-    spec: msgspec.Raw = msgspec.Raw(b'null')
-
-
-class _Page(msgspec.Struct):
-    items: list[_Object]
-    at_rev: int
-    has_more: bool = False
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    deleted: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    at_rev: int
-
-
 class _VmEntry(msgspec.Struct):
     address: str
     leaving: bool = False
@@ -143,7 +127,7 @@
         )
         return await self._call(
             HttpRequest('GET', target),
-            lambda response: _parse_events(kind, after, response),
+            lambda response: decode_events(kind, after, response.body),
             wait + _WATCH_MARGIN_S,
             connection,
         )
@@ -163,7 +147,7 @@
             PlatformUnavailableError the write may have happened.
         """
         body = msgspec.json.encode(
-            _Object(_Meta(name, expected), msgspec.Raw(text)),
+            ObjectBody(Meta(name, expected), msgspec.Raw(text)),
         )
         request = HttpRequest('PUT', _path(kind, name), body)
         if not expected:
@@ -176,8 +160,11 @@
     async def newest_version(self) -> Result[int, PlatformError]:
         """Read the store's version, which may be seconds old."""
         target = f'{_path(VM_KIND)}?after={_LAST_NAME}&serializable=1'
-        outcome = await self._call(HttpRequest('GET', target), _parse_page)
-        return outcome.map(lambda page: page.at_rev)
+        outcome = await self._call(
+            HttpRequest('GET', target),
+            partial(_parse_page, VM_KIND),
+        )
+        return outcome.map(lambda page: page.version)
 
     async def read_changes(
         self, kind: str, after: int
@@ -194,14 +181,14 @@
         target = f'{_path(kind)}?watch={after}&wait_ms=1&serializable=1'
         return await self._call(
             HttpRequest('GET', target),
-            lambda response: _parse_events(kind, after, response),
+            lambda response: decode_events(kind, after, response.body),
         )
 
     async def list_vms(self) -> Result[tuple[VmRecord, ...], PlatformError]:
         """Read the registered entry VMs; the list may be seconds old."""
         objects: list[StoredObject] = []
         outcome = await self._list(VM_KIND, objects, allow_stale=True)
-        return outcome.map(lambda _: tuple(map(_to_vm_record, objects)))
+        return outcome.map(lambda _: tuple(_to_vm_records(objects)))
 
     async def register_vm(self, record: VmRecord) -> Result[int, PlatformError]:
         """Register an entry VM, replacing an earlier entry of its name."""
@@ -228,15 +215,18 @@
             target = f'{_path(kind)}?after={quote(after, safe="")}'
             if allow_stale:
                 target = f'{target}&serializable=1'
-            outcome = await self._call(HttpRequest('GET', target), _parse_page)
+            outcome = await self._call(
+                HttpRequest('GET', target),
+                partial(_parse_page, kind),
+            )
             if not isinstance(outcome, Success):
                 return Failure(outcome.failure())
             page = outcome.unwrap()
-            objects.extend(_to_stored_object(kind, item) for item in page.items)
-            version = version or page.at_rev
-            if not page.has_more or not page.items:
+            objects.extend(page.objects)
+            version = version or page.version
+            if not page.has_more or not page.objects:
                 return Success(version)
-            after = page.items[-1].meta.name
+            after = page.objects[-1].name
 
     async def _call(
         self,
@@ -256,11 +246,7 @@
         except PlatformError as error:
             # The traceback refers to this frame, which holds the response.
             outcome = Failure(error.with_traceback(None))
-        except (
-            DaisydykeError,
-            curio.TaskTimeout,
-            msgspec.MsgspecError,
-        ) as cause:
+        except _CALL_ERRORS as cause:
             reason = f'{type(cause).__name__}: {cause}'
             outcome = Failure(PlatformUnavailableError(reason))
         if persistent is None or not isinstance(outcome, Success):
@@ -303,58 +289,32 @@
     return f'/-/objects/{kind}/{escaped}'
 
 
-def _to_stored_object(kind: str, stored: _Object) -> StoredObject:
-    return StoredObject(
-        kind,
-        stored.meta.name,
-        stored.meta.revision,
-        bytes(stored.spec),
-    )
-
-
 def _parse_object(kind: str, response: HttpResponse) -> StoredObject | None:
     if response.status == HTTPStatus.NOT_FOUND:
         return None
-    return _to_stored_object(
-        kind, msgspec.json.decode(response.body, type=_Object)
-    )
-
-
-def _parse_page(response: HttpResponse) -> _Page:
-    return msgspec.json.decode(response.body, type=_Page)
+    return decode_object(kind, response.body)
 
 
-def _parse_events(kind: str, after: int, response: HttpResponse) -> Listing:
-    """Decode the response to a watch.
-
-    Raises:
-        ProtocolViolationError: it belongs to an earlier watch, such as a
-            second copy of that response.
-    """
-    page = msgspec.json.decode(response.body, type=_Events)
-    if page.events and page.at_rev <= after:
-        raise ProtocolViolationError('response to an earlier watch')
-    changes = [
-        StoredObject(
-            kind,
-            event.object.meta.name,
-            event.object.meta.revision,
-            None if event.deleted else bytes(event.object.spec),
-        )
-        for event in page.events
-    ]
-    return Listing(page.at_rev, tuple(changes))
+def _parse_page(kind: str, response: HttpResponse) -> Page:
+    return decode_page(kind, response.body)
 
 
 def _parse_version(name: str, expected: int, response: HttpResponse) -> int:
     if response.status == HTTPStatus.NOT_FOUND:
         raise VersionConflictError(name, expected, 0)
-    current = msgspec.json.decode(response.body, type=_Object)
+    current = msgspec.json.decode(response.body, type=ObjectBody)
     if response.status == HTTPStatus.CONFLICT:
         raise VersionConflictError(name, expected, current.meta.revision)
     return current.meta.revision
 
 
+def _to_vm_records(objects: Iterable[StoredObject]) -> Iterator[VmRecord]:
+    """Yield the entries that can be read; others name no VM."""
+    for stored in objects:
+        with suppress(*DECODING_ERRORS):
+            yield _to_vm_record(stored)
+
+
 def _to_vm_record(stored: StoredObject) -> VmRecord:
     entry = msgspec.json.decode(stored.text or b'', type=_VmEntry)
     return VmRecord(
