Answer every request before a planned stop ends

What callers saw: around SIGTERM, requests that had been passed on ended with a closed connection at the end of the grace period, among them some that may not be repeated (LOST); the process then exited with 1, 'New tasks created during shutdown'. Cause: what was in progress when the time to drain was over was cancelled with the process. Requests were taken whatever time was left. Listeners and the pool went on starting tasks while the event loop was shut down. Change: no request goes on longer than the process; at its end each one is answered (504 if it may have run, else 503 with Retry-After, or a merged answer). Then all listeners close.

--- a/src/daisydyke/_adapters/_http_server.py
+++ b/src/daisydyke/_adapters/_http_server.py
@@ -121,18 +121,25 @@
         answered as well.
         """
         self._state.closing = True
-        await self._stop_listening()
+        await self._accept_last()
+        await self.stop_listening()
         while self._connections:
             for connection in tuple(self._connections):
                 await connection.close_if_idle()
             await curio.sleep(_DRAIN_POLL_INTERVAL_S)
 
-    async def _stop_listening(self) -> None:
-        if self._listener is None or self._accept_task is None:
-            return
-        await self._accept_task.cancel()
-        await curio.ignore_after(_LAST_ACCEPT_S, self._accept(self._listener))
-        await self._listener.close()
+    async def stop_listening(self) -> None:
+        """Accept no more connections."""
+        if self._accept_task is not None:
+            await self._accept_task.cancel()
+        if self._listener is not None:
+            await self._listener.close()
+            self._listener = None
+
+    async def _accept_last(self) -> None:
+        """Accept the connections that the kernel has accepted already."""
+        if self._listener is not None:
+            await curio.sleep(_LAST_ACCEPT_S)
 
     async def _accept(self, listener: curio.io.Socket) -> None:
         while True:
--- a/src/daisydyke/_backends/_exchange.py
+++ b/src/daisydyke/_backends/_exchange.py
@@ -31,6 +31,10 @@
         if not self._event.is_set():
             await self._event.set()
 
+    async def wake(self) -> None:
+        """Wake up the waiting task without an outcome."""
+        await self._event.set()
+
     async def wait(
         self,
         timeout: float,
@@ -41,7 +45,8 @@
             timeout: longest wait in seconds; 0 or less does not wait.
 
         Returns:
-            Ended exchanges with their outcomes; empty after the timeout.
+            Ended exchanges with their outcomes; empty after the timeout and
+            after ``wake``.
         """
         if not self._ended and timeout > 0:
             await curio.ignore_after(timeout, self._event.wait())
--- a/src/daisydyke/_backends/_pool.py
+++ b/src/daisydyke/_backends/_pool.py
@@ -59,6 +59,7 @@
         self.opened_count = 0
         self.violation_count = 0
         self.loop_lag_s: float = 0
+        self._closed = False
 
     def can_submit(self, server: BackendServer) -> bool:
         """Return whether an exchange could be sent at once."""
@@ -115,6 +116,10 @@
             await connection.close()
         server.idle.clear()
 
+    def close(self) -> None:
+        """Open no more connections but for exchanges."""
+        self._closed = True
+
     async def run(self, servers: Callable[[], list[BackendServer]]) -> None:
         """Close connections whose idle time has expired, until cancelled.
 
@@ -195,7 +200,7 @@
 
     async def _ensure_connection(self, server: BackendServer) -> None:
         """Open an idle connection if the server has no connection left."""
-        if server.removed or server.connections:
+        if self._closed or server.removed or server.connections:
             return
         await self._make_connection(server).open()
 
--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -30,6 +30,8 @@
 _DISCOVERY_S = 1.0
 # Remaining part of the grace period, in which the process exits.
 _EXIT_MARGIN_S = 0.4
+# Part of it in which the last answers are sent.
+_LAST_ANSWERS_S = 0.2
 # Share of the grace period in which callers still reach a leaving VM.
 _LINGER_SHARE = 0.55
 _GC_ALLOCATION_THRESHOLD = 20000
@@ -61,6 +63,7 @@
     while await signals.next() is signal.SIGHUP:
         _log_settings_change(gateway, path)
     await leave(gateway)
+    await gateway.close()
 
 
 def _log_settings_change(gateway: Gateway, path: Path) -> None:
@@ -174,15 +177,23 @@
     """Shut down within the grace period.
 
     Leaves the directory, serves requests that still arrive and then drains
-    the server for callers.
+    the server for callers. Requests that are still in progress at the end are
+    answered with what is known of them.
     """
     grace_s = gateway.settings.grace_s
+    open_requests = gateway.request_service.open_requests
     gateway.log.record('leaving')
     gateway.membership.leave()
+    open_requests.end_at = gateway.clock.monotonic() + grace_s - _EXIT_MARGIN_S
     gateway.caller_server.stop_keep_alive()
     await curio.sleep(grace_s * _LINGER_SHARE)
     drain_timeout_s = grace_s * (1 - _LINGER_SHARE) - _EXIT_MARGIN_S
     await curio.ignore_after(drain_timeout_s, gateway.caller_server.drain())
+    ended = gateway.caller_server.requests_in_progress
+    await open_requests.end_all()
+    await curio.ignore_after(_LAST_ANSWERS_S, gateway.caller_server.drain())
     gateway.log.record(
-        'stop', unfinished=gateway.caller_server.requests_in_progress
+        'stop',
+        ended=ended,
+        unfinished=gateway.caller_server.requests_in_progress,
     )
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -173,6 +173,18 @@
             settings, MetricsHandler(self.metrics.render).handle
         )
 
+    async def close(self) -> None:
+        """Take no more connections, so that no task starts any more."""
+        self.pool.close()
+        for server in (
+            self.readiness_server,
+            self.directory_server,
+            self.caller_server,
+            self.mirror_server,
+            self.metrics_server,
+        ):
+            await server.stop_listening()
+
     def is_ready(self) -> bool:
         """Return whether this VM has joined and can answer requests."""
         status = self.membership.me.status
--- a/src/daisydyke/_requests/_dispatch.py
+++ b/src/daisydyke/_requests/_dispatch.py
@@ -172,6 +172,7 @@
         self._unfinished_parts = len(services)
         self._answered_parts = 0
         self._failed_parts = 0
+        self._stopped = False
         self.parts = [Part(*pair) for pair in enumerate(services)]
         self.hedges = 0
         self.retries = 0
@@ -190,9 +191,14 @@
         finally:
             await self._abandon_open_exchanges()
 
+    async def stop(self) -> None:
+        """End the dispatch now, as at its deadline."""
+        self._stopped = True
+        await self._outcomes.wake()
+
     def _is_finished(self) -> bool:
         now = self._dependencies.clock.monotonic()
-        if now >= self._schedule.deadline:
+        if self._stopped or now >= self._schedule.deadline:
             return True
         if len(self.parts) - self._failed_parts < self._schedule.required_parts:
             return True
--- a/src/daisydyke/_requests/_service.py
+++ b/src/daisydyke/_requests/_service.py
@@ -22,6 +22,7 @@
     Route,
     Unanswered,
 )
+from ._open_requests import OpenRequests
 from ._records import greatest_records
 from ._routes import RoutingTable, choose_service
 
@@ -40,6 +41,8 @@
     (FailureReason.NO_SERVER, FailureReason.NO_BUDGET),
 )
 _RETRY_AFTER_UNCONFIGURED_S = 0.5
+# Other VMs can answer at once.
+_RETRY_AFTER_LEAVING_S = 0.05
 _MINIMUM_REMAINING_S = 0.003
 _ROUNDING_TOLERANCE = 1e-9
 _LOGGED_PARTS = 4
@@ -63,7 +66,11 @@
 
 
 class RequestService:
-    """Routes requests, dispatches them and composes the answers."""
+    """Routes requests, dispatches them and composes the answers.
+
+    Attributes:
+        open_requests: requests in progress, for the end of this process.
+    """
 
     def __init__(self, dependencies: RequestDependencies) -> None:
         """Initialize without latency estimates; each route gets its own."""
@@ -71,6 +78,7 @@
         self._latencies: dict[str, LatencyEstimate] = {}
         self._longest_timeouts: dict[str, float] = {}
         self._random = random.Random()  # noqa: S311
+        self.open_requests = OpenRequests()
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Answer one request.
@@ -85,6 +93,9 @@
         route = table.find(request.host, request.path)
         if route is None:
             return self._answer_without_dispatch(request, NotRouted(), table)
+        if not self.open_requests.may_start(route, request.received):
+            refusal = Refused('leaving', _RETRY_AFTER_LEAVING_S)
+            return self._answer_without_dispatch(request, refusal, table)
         schedule = self._schedule(request, route)
         if schedule.deadline - request.received < _MINIMUM_REMAINING_S:
             refusal = Refused('deadline_too_near', _RETRY_AFTER_S)
@@ -98,7 +109,7 @@
             schedule,
             self._latency_estimate(route),
         )
-        await dispatch.run()
+        await self.open_requests.run(dispatch)
         answer = _compose_answer(route, dispatch.parts)
         self._log_answer(request, route, table, schedule, dispatch, answer)
         return answer
@@ -137,8 +148,12 @@
         timeout = route.timeout
         if request.timeout is not None:
             timeout = min(timeout, request.timeout)
-        deadline = (
-            request.received + timeout - request.round_trip - _DEADLINE_MARGIN_S
+        deadline = min(
+            request.received
+            + timeout
+            - request.round_trip
+            - _DEADLINE_MARGIN_S,
+            self.open_requests.end_at,
         )
         partial_answer_at = request.received + self._partial_answer_time(
             request, route
