Soak: callers that stay, and stops that meet long requests

Cause: the soak's servers answered in 10 ms and its callers left with the directory, so that a stop never met a request that outlasts the grace period. Change: every other caller stays with a VM until it no longer accepts; a service turns slow; VMs stop in series and with requests in progress.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -29,8 +29,9 @@
 from stand_ins.platform_server import RECORD_BYTES, response_body
 
 _DEADLINE_S = 1.5
-# ``_DEADLINE_S`` as a header value.
-_DEADLINE_MS = '1500'
+# For the route whose timeout is ``LONG_TIMEOUT_MS``.
+_LONG_DEADLINE_S = 4.5
+_MS_PER_S = 1000
 _ADDRESS_TTL_S = 1.0
 _MEAN_GAP_S = 0.05
 _CONFIG_LIMIT_S = 3.0
@@ -46,6 +47,9 @@
 class Caller:
     """Sends requests sequentially over a persistent connection.
 
+    Every other caller stays with the gateway that it has once reached until
+    that no longer accepts connections.
+
     Parameters:
         served: number of requests answered with status 200.
         sent: number of requests sent.
@@ -68,6 +72,7 @@
         self._resolved_at: float = 0
         self._connection: HttpConnection | None = None
         self._connected_host = ''
+        self._stays = bool(number % 2)
         self.served = 0
         self.sent = 0
         self.not_run_ids: set[str] = set()
@@ -87,12 +92,14 @@
         started = time.monotonic()
         self.sent += 1
         try:
-            async with curio.timeout_after(_DEADLINE_S):
+            async with curio.timeout_after(_deadline_s(request)):
                 response = await connection.request(request)
         except (DaisydykeError, curio.TaskTimeout) as error:
             await self._close_connection()
             if connection.sent:
                 self._check_lost_answer(request, started, error)
+            else:
+                self._connected_host = ''
             return
         self._check_response(request, response, started)
         if response.headers.get('connection') == 'close':
@@ -101,8 +108,9 @@
     def _connect(self) -> HttpConnection:
         """Return the open connection, or a new one to a random address."""
         if self._connection is None:
-            address = self._random.choice(self._addresses)
-            self._connected_host = address.partition(':')[0]
+            if not (self._stays and self._connected_host):
+                address = self._random.choice(self._addresses)
+                self._connected_host = address.partition(':')[0]
             self._connection = HttpConnection(
                 Address(self._connected_host, CALLER_PORT)
             )
@@ -111,15 +119,15 @@
     def _next_request(self) -> HttpRequest:
         target = self._random.choice(_TARGETS)
         number = next(self._request_numbers)
-        return HttpRequest(
+        request = HttpRequest(
             'POST' if target.startswith('/one/') else 'GET',
             target,
             b'',
-            {
-                'daisydyke-request-id': f'{self._number}-{number}',
-                'daisydyke-deadline-ms': _DEADLINE_MS,
-            },
+            {'daisydyke-request-id': f'{self._number}-{number}'},
         )
+        deadline_ms = int(_deadline_s(request) * _MS_PER_S)
+        request.headers['daisydyke-deadline-ms'] = str(deadline_ms)
+        return request
 
     async def _refresh_addresses(self) -> None:
         now = time.monotonic()
@@ -139,7 +147,7 @@
             return
         finally:
             await connection.close()
-        if not any(
+        if not self._stays and not any(
             address.startswith(f'{self._connected_host}:')
             for address in self._addresses
         ):
@@ -164,14 +172,16 @@
         """Check that the request was not run, or that a fault explains it.
 
         A request that a server ran must be answered if neither the VM nor any
-        server was disturbed since ``_DEADLINE_S`` before it was sent.
+        server was disturbed since its deadline before it was sent.
         """
         vm = self._connected_vm()
         request_id = request.headers['daisydyke-request-id']
         executed = any(
             run.request_id == request_id for run in self._cluster.runs
         )
-        undisturbed = self._cluster.undisturbed_since(vm, started - _DEADLINE_S)
+        undisturbed = self._cluster.undisturbed_since(
+            vm, started - _deadline_s(request)
+        )
         if executed and undisturbed:
             self._cluster.report_violation(
                 f'LOST at {vm.name}: {type(error).__name__} {error}',
@@ -230,6 +240,11 @@
             )
 
 
+def _deadline_s(request: HttpRequest) -> float:
+    long = request.target.startswith('/one/')
+    return _LONG_DEADLINE_S if long else _DEADLINE_S
+
+
 def merge_errors(request_id: str, response: HttpResponse) -> Iterator[str]:
     """Return the errors in a merged response.
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,7 +11,14 @@
 import curio
 
 from soak._proxy import NetworkFault
-from soak._world import DRAIN_LIMIT_S, GRACE_S, SoakCluster, Vm
+from soak._world import (
+    DRAIN_LIMIT_S,
+    GRACE_S,
+    UNSHARDED_SERVICES,
+    SoakCluster,
+    Vm,
+)
+from stand_ins.platform_server import SERVICE_TIME_S
 
 _MAX_DURATION_S = 3.0
 _MIN_DURATION_S = 0.3
@@ -24,6 +31,7 @@
 _EXIT_MARGIN_S = 0.5
 _POLL_S = 0.05
 _PAUSE_RANGE_S = (0.1, 1.2)
+_SLOW_RANGE_S = (0.5, 3.5)
 
 Fault = Callable[['FaultInjector'], Awaitable[None]]
 
@@ -148,6 +156,29 @@
         setattr(server, kind, False)
         self._cluster.mark_servers_disturbed()
 
+    async def _slow_service(self) -> None:
+        """Let requests take long for a while; their answers stay owed."""
+        self._set_service_time(self._random.uniform(*_SLOW_RANGE_S))
+        await curio.sleep(self._draw_duration_s())
+        self._set_service_time(SERVICE_TIME_S)
+
+    async def _stop_with_long_requests(self) -> None:
+        """Stop a VM with requests that outlast its grace period."""
+        self._set_service_time(GRACE_S)
+        await curio.sleep(self._random.uniform(*_PAUSE_RANGE_S))
+        await self._terminate()
+        self._set_service_time(SERVICE_TIME_S)
+
+    def _set_service_time(self, seconds: float) -> None:
+        for server in self._cluster.servers:
+            if server.service in UNSHARDED_SERVICES:
+                server.service_time_s = seconds
+
+    async def _roll(self) -> None:
+        """Stop and start VMs one after the other."""
+        for _ in self._cluster.vms[1:]:
+            await self._terminate()
+
     async def _configure(self) -> None:
         self._cluster.configure(self._random.choice(('p0', 'p1')))
 
@@ -207,6 +238,9 @@
     FaultInjector._harm_server,
     FaultInjector._reset_server,
     FaultInjector._server_fails,
+    FaultInjector._slow_service,
+    FaultInjector._stop_with_long_requests,
+    FaultInjector._roll,
     FaultInjector._configure,
     FaultInjector._drain,
 )
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -33,6 +33,8 @@
 _STORE_PORT = 8102
 _INTERNAL_PORTS = (7380, 7395)
 _TIMEOUT_MS = 1000
+# More than the grace period leaves, so that stops meet requests in progress.
+LONG_TIMEOUT_MS = 4000
 _OCTET_VALUES = 250
 
 
@@ -292,7 +294,11 @@
         'max_attempts': 3,
     }
     gather = {'gather': list(SHARDS), 'top_k': 6, 'min_shard_share': 0.5}
-    once = {'service': 'p0', 'route_type': 'non_idempotent'}
+    once = {
+        'service': 'p0',
+        'route_type': 'non_idempotent',
+        'timeout_ms': LONG_TIMEOUT_MS,
+    }
     return [
         {**shared, **gather, 'name': f'all {host}', 'path_prefix': '/all/'},
         {**shared, **once, 'name': f'one {host}', 'path_prefix': '/one/'},
--- a/stand_ins/platform_server.py
+++ b/stand_ins/platform_server.py
@@ -16,6 +16,7 @@
 _RECORD_COUNT = 4
 RECORD_BYTES = 16
 _SLOT_COUNT = 4
+SERVICE_TIME_S = 0.01
 _NOT_EXECUTED = 'daisydyke-not-executed'
 
 
@@ -53,7 +54,7 @@
     domain: str
     address: Address
     runs: list[RequestRun] = field(default_factory=list)
-    service_time_s: float = 0.01
+    service_time_s: float = SERVICE_TIME_S
     fails: bool = False
     loses: bool = False
     sheds: bool = False
