Import no library before SIGHUP is ignored

Cause: put a constant that needs msgspec into daisydyke.exceptions, which is imported before the entry point ignores SIGHUP. Change: the constant has a module of its own. Evidence: test_nothing_slow_is_imported_before fails on (msgspec), and passes now. The log of the ended process has no start line. Excluded: the shutdown; that process had not been told to leave.

--- a/src/daisydyke/_adapters/_backend.py
+++ b/src/daisydyke/_adapters/_backend.py
@@ -11,6 +11,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from .._decoding import DECODING_ERRORS
 from .._domain._model import (
     Address,
     Failure,
@@ -23,7 +24,6 @@
 )
 from .._ports import SubResult
 from ..exceptions import (
-    DECODING_ERRORS,
     ConnectionLostError,
     DaisydykeError,
 )
--- a/src/daisydyke/_adapters/_datagrams.py
+++ b/src/daisydyke/_adapters/_datagrams.py
@@ -8,8 +8,8 @@
 import curio
 import msgspec
 
+from .._decoding import DECODING_ERRORS
 from .._domain._model import Address
-from ..exceptions import DECODING_ERRORS
 
 _MAXIMUM_DATAGRAM_BYTES = 1400
 
--- a/src/daisydyke/_adapters/_frames.py
+++ b/src/daisydyke/_adapters/_frames.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
+from .._decoding import DECODING_ERRORS
 from ..exceptions import (
-    DECODING_ERRORS,
     ConnectionLostError,
     ProtocolViolationError,
 )
--- a/src/daisydyke/_adapters/_json_parts.py
+++ b/src/daisydyke/_adapters/_json_parts.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from ..exceptions import DECODING_ERRORS
+from .._decoding import DECODING_ERRORS
+
 
 _STRING = rb'"(?:[^"\\]++|\\.)*+"'
 # Brackets are matched in runs, since nesting may be deep.
--- a/src/daisydyke/_adapters/_mirror_exchange.py
+++ b/src/daisydyke/_adapters/_mirror_exchange.py
@@ -15,10 +15,10 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from .._decoding import DECODING_ERRORS
 from .._domain._model import Address
 from .._ports import Listing, StoredObject
 from ..exceptions import (
-    DECODING_ERRORS,
     ConnectionLostError,
     DaisydykeError,
     ProtocolViolationError,
--- a/src/daisydyke/_cli/_console.py
+++ b/src/daisydyke/_cli/_console.py
@@ -14,6 +14,7 @@
 from .._adapters._clock import RuntimeClock
 from .._adapters._http_client import HttpConnection, HttpRequest
 from .._adapters._platform import HttpPlatform
+from .._decoding import DECODING_ERRORS
 from .._domain._model import Address
 from .._operations._operations import (
     AcceptedChange,
@@ -24,7 +25,6 @@
 from .._queries._callers import StatusBody
 from .._settings._documents import parse_address
 from ..exceptions import (
-    DECODING_ERRORS,
     DaisydykeError,
     InvalidDocumentError,
     VersionConflictError,
--- a/src/daisydyke/_cli/_explain.py
+++ b/src/daisydyke/_cli/_explain.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ..exceptions import DECODING_ERRORS
+from .._decoding import DECODING_ERRORS
 from ._explain_answer import AnswerLine, describe_answer
 
 
--- a/src/daisydyke/_commits/_commit.py
+++ b/src/daisydyke/_commits/_commit.py
@@ -16,6 +16,7 @@
 from xxhash import xxh3_128_hexdigest
 
 from .._adapters._http_client import HttpResponse
+from .._decoding import DECODING_ERRORS
 from .._domain._choice import Candidate, ReplicaChoice
 from .._domain._model import (
     Holder,
@@ -34,7 +35,6 @@
 from .._queries._progress import ResultQueue
 from .._queries._query import MAXIMUM_TIMEOUT_S, usable_servers
 from ..exceptions import (
-    DECODING_ERRORS,
     BadRequestError,
     CallerError,
     KeyReusedError,
--- a/src/daisydyke/_limits/_fencing.py
+++ b/src/daisydyke/_limits/_fencing.py
@@ -8,12 +8,12 @@
 import msgspec
 from returns.result import Success
 
+from .._decoding import DECODING_ERRORS
 from .._domain._model import Holder
 from .._members._membership import Membership
 from .._ports import Clock, DecisionLog, Platform, StoredObject
 from .._settings._daemon import LeaseSettings
 from .._settings._documents import SessionDocument
-from ..exceptions import DECODING_ERRORS
 from ._session import SESSION_KIND
 
 _VM_LIST_INTERVAL_S = 5.0
--- a/src/daisydyke/_limits/_session.py
+++ b/src/daisydyke/_limits/_session.py
@@ -8,11 +8,11 @@
 import msgspec
 from returns.result import Success
 
+from .._decoding import DECODING_ERRORS
 from .._domain._model import Holder
 from .._ports import Clock, DecisionLog, Platform, StoredObject
 from .._settings._daemon import LeaseSettings
 from .._settings._documents import SessionDocument
-from ..exceptions import DECODING_ERRORS
 
 SESSION_KIND = 'session'
 _RENEWALS_PER_TTL = 3
--- a/src/daisydyke/_queries/_callers.py
+++ b/src/daisydyke/_queries/_callers.py
@@ -16,6 +16,7 @@
 from .._adapters._http_client import HttpRequest, HttpResponse
 from .._commits._commit import CommitExecutor
 from .._commits._commit_values import parse_key, render_error_response
+from .._decoding import DECODING_ERRORS
 from .._domain._model import Outcome
 from .._domain._rendezvous import rank
 from .._members._membership import Membership
@@ -23,7 +24,6 @@
 from .._peers._peers import PeerLinks
 from .._ports import Clock, DecisionLog, Metrics
 from ..exceptions import (
-    DECODING_ERRORS,
     BadRequestError,
     CallerError,
     EntryLeavingError,
--- a/src/daisydyke/_settings/_documents.py
+++ b/src/daisydyke/_settings/_documents.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from .._decoding import DECODING_ERRORS
 from .._domain._model import (
     Address,
     Holder,
@@ -15,7 +16,7 @@
     ServerSpec,
     ServiceSpec,
 )
-from ..exceptions import DECODING_ERRORS, InvalidDocumentError
+from ..exceptions import InvalidDocumentError
 
 _ModelT = TypeVar('_ModelT')
 _MSGSPEC_ERROR = re.compile(
--- a/src/daisydyke/exceptions.py
+++ b/src/daisydyke/exceptions.py
@@ -4,17 +4,6 @@
 
 from typing import ClassVar
 
-import msgspec
-
-# What decoders raise for input of any kind: nesting without end, and numbers
-# and texts that Python does not convert, besides their own errors.
-DECODING_ERRORS = (
-    msgspec.MsgspecError,
-    RecursionError,
-    OverflowError,
-    ValueError,
-)
-
 
 class DaisydykeError(Exception):
     """Base class of all exceptions of the package."""
--- a/src/daisydyke/platform/_pages.py
+++ b/src/daisydyke/platform/_pages.py
@@ -12,8 +12,9 @@
 import msgspec
 
 from .._adapters._json_parts import split_array, split_object
+from .._decoding import DECODING_ERRORS
 from .._ports import Listing, StoredObject
-from ..exceptions import DECODING_ERRORS, ProtocolViolationError
+from ..exceptions import ProtocolViolationError
 
 _SALVAGE_ERRORS = (KeyError, *DECODING_ERRORS)
 _JSON_TRUE = b'true'
--- a/src/daisydyke/platform/_store.py
+++ b/src/daisydyke/platform/_store.py
@@ -14,10 +14,10 @@
 from returns.result import Failure, Result, Success
 
 from .._adapters._http_client import HttpConnection, HttpRequest, HttpResponse
+from .._decoding import DECODING_ERRORS
 from .._domain._model import Address
 from .._ports import Listing, StoredObject, VmRecord
 from ..exceptions import (
-    DECODING_ERRORS,
     DaisydykeError,
     HistoryGoneError,
     PlatformError,
--- a/tests/fuzz/test_json_parts.py
+++ b/tests/fuzz/test_json_parts.py
@@ -11,7 +11,7 @@
 from testtools.matchers import Equals
 
 from daisydyke._adapters._json_parts import split_array, split_object
-from daisydyke.exceptions import DECODING_ERRORS
+from daisydyke._decoding import DECODING_ERRORS
 
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(r'a"\,[]{}:é '),
--- a/tests/platform/test_gateway_main.py
+++ b/tests/platform/test_gateway_main.py
@@ -23,6 +23,13 @@
 _gateway_main.main()
 """
 
+LIST_MODULES = """
+import sys
+import daisydyke._cli._gateway_main
+print(*sys.modules)
+"""
+LIBRARIES = frozenset(('click', 'curio', 'h11', 'httptools', 'msgspec'))
+
 
 def exit_code(sent: signal.Signals) -> int:
     """Return the exit code of a process signalled during the import."""
@@ -41,6 +48,19 @@
         """SIGHUP during the import does not end the process."""
         self.assertThat(exit_code(signal.SIGHUP), Equals(0))
 
+    def test_nothing_slow_is_imported_before(self) -> None:
+        """No library is imported before SIGHUP is ignored (LOST).
+
+        A process that was told of new settings while it started ended.
+        """
+        loaded = subprocess.run(
+            [sys.executable, '-c', LIST_MODULES],
+            capture_output=True,
+            check=True,
+            text=True,
+        ).stdout.split()
+        self.assertThat(LIBRARIES.intersection(loaded), Equals(set()))
+
     def test_sigterm_during_import(self) -> None:
         """SIGTERM during the import ends the process."""
         self.assertThat(
