Log each request that gets no whole answer, with the cause

A store that closed a waiting watch was logged with h11's words for an invalid message. Change: 'request_cut' with the request's id and the cause (caller left, closed by this process, failed, stopped), a metric by cause, and a line in 'explain'. A connection that ends early is called that. No decision changes. Result: tests/contract/test_caller_sockets.py (TestCuts) tells the causes apart; tests/contract/test_http_client.py (TestClosedBeforeTheEnd).

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import Enum
 from http import HTTPStatus
 
 import curio
@@ -22,6 +23,29 @@
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
+class CutCause(Enum):
+    """Why a request gets no whole answer.
+
+    ``CALLER_LEFT``: the client has closed or reset the connection;
+    ``CLOSED``: this process closes it, as at a limit or a time-out;
+    ``FAILED``: the handler failed; ``STOPPED``: the process ends.
+    """
+
+    CALLER_LEFT = 'caller_left'
+    CLOSED = 'closed'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+
+
+# Called with each request that gets no whole answer, the cause, and the error
+# of a handler that failed.
+CutReport = Callable[[HttpRequest, CutCause, str], None]
+
+
+def _ignore_cut(request: HttpRequest, cause: CutCause, error: str) -> None:
+    """Report nothing."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
     """Limits on requests and connections of clients.
@@ -57,6 +81,7 @@
         request_bytes: bounds what all connections together receive.
         closing: whether each connection is closed with its next response.
         requests_in_progress: number of requests that are being answered.
+        report_cut: see CutReport.
     """
 
     handler: Handler
@@ -65,6 +90,7 @@
     request_bytes: ByteBudget
     closing: bool = False
     requests_in_progress: int = 0
+    report_cut: CutReport = _ignore_cut
 
 
 # Closes another connection that has been receiving a request for long, to
@@ -107,6 +133,7 @@
         self._reader_task: curio.Task | None = None
         self._request_incomplete = False
         self._stopped = False
+        self._cut_cause = CutCause.STOPPED
         # Without data in flight, this is the time that the handshake took.
         self._round_trip_s = round_trip_time(client)
         self._connecting_s = self._round_trip_s
@@ -125,7 +152,9 @@
         self._reader_task = await curio.current_task()
         try:
             await self._read()
-        except (OSError, curio.CancelledError):
+        except OSError:
+            self._cut_cause = CutCause.CALLER_LEFT
+        except curio.CancelledError:
             return
         finally:
             self._hold(0)
@@ -174,6 +203,7 @@
     async def _handle(self, received: bytes) -> bool:
         """Handle received bytes; return whether to go on reading."""
         if not received:
+            self._cut_cause = CutCause.CALLER_LEFT
             return False
         if not await self._acquire(len(received)):
             await self._refuse()
@@ -295,18 +325,30 @@
         """Answer a request; return whether the connection stays open."""
         self._state.requests_in_progress += 1
         try:
-            response = await self._state.handler(request)
-            payload = encode_response(
-                self._http,
-                response,
-                last=self._state.closing,
-                bodiless=request.method == 'HEAD',
-            )
-            await self._client.sendall(payload)
+            await self._respond(request)
+        except OSError:
+            self._state.report_cut(request, CutCause.CALLER_LEFT, '')
+            raise
+        except curio.CancelledError:
+            self._state.report_cut(request, self._cut_cause, '')
+            raise
+        except Exception as error:
+            self._state.report_cut(request, CutCause.FAILED, _describe(error))
+            raise
         finally:
             self._state.requests_in_progress -= 1
         return await self._begin_next_cycle()
 
+    async def _respond(self, request: HttpRequest) -> None:
+        response = await self._state.handler(request)
+        payload = encode_response(
+            self._http,
+            response,
+            last=self._state.closing,
+            bodiless=request.method == 'HEAD',
+        )
+        await self._client.sendall(payload)
+
     async def _begin_next_cycle(self) -> bool:
         """Parse what has arrived; return whether the connection stays open."""
         reusable = (
@@ -325,6 +367,7 @@
 
     async def _stop_reading(self) -> None:
         self._stopped = True
+        self._cut_cause = CutCause.CLOSED
         if self._reader_task is not None:
             await self._reader_task.cancel(blocking=False)
 
@@ -346,3 +389,7 @@
                 and self._head.method == b'HEAD',
             ),
         )
+
+
+def _describe(error: Exception) -> str:
+    return f'{type(error).__name__}: {error}'
--- a/src/daisydyke/_adapters/_http_client.py
+++ b/src/daisydyke/_adapters/_http_client.py
@@ -100,6 +100,7 @@
         self._socket: StreamSocket | None = None
         self._http = h11.Connection(h11.CLIENT)
         self._sent = False
+        self._ended = False
         self._received_bytes = 0
         self._body_bytes = 0
 
@@ -132,11 +133,16 @@
                 large.
         """
         self._sent = False
+        self._ended = False
         try:
             return await self._exchange(request)
         except OSError as error:
             raise ConnectionLostError(str(error)) from error
         except h11.RemoteProtocolError as error:
+            if self._ended:
+                raise ConnectionLostError(
+                    'connection closed before the response ended'
+                ) from error
             raise ProtocolViolationError(str(error)) from error
 
     async def close(self) -> None:
@@ -225,6 +231,7 @@
         while event is h11.NEED_DATA:
             self._check_overhead()
             received = await stream.recv(_READ_BYTES)
+            self._ended = not received
             self._received_bytes += len(received)
             self._http.receive_data(received)
             event = self._http.next_event()
--- a/src/daisydyke/_adapters/_http_server.py
+++ b/src/daisydyke/_adapters/_http_server.py
@@ -12,6 +12,7 @@
 from .._ports import Clock
 from ._client_connection import (
     ClientConnection,
+    CutReport,
     Handler,
     HttpLimits,
     ServerState,
@@ -54,6 +55,7 @@
             the client closes the connection.
         limits: returns the limits of a new connection.
         capacity: limits on all connections together.
+        report_cut: called with each request that gets no whole answer.
         clock: clock for the time-outs; that of the runtime by default.
     """
 
@@ -64,6 +66,7 @@
         cancel_on_disconnect: bool = False,
         limits: Callable[[], HttpLimits] = HttpLimits,
         capacity: HttpCapacity | None = None,
+        report_cut: CutReport | None = None,
         clock: Clock | None = None,
     ) -> None:
         """Initialize without listening; ``start`` binds the socket."""
@@ -74,6 +77,8 @@
             clock or RuntimeClock(),
             ByteBudget(self._capacity.request_bytes),
         )
+        if report_cut is not None:
+            self._state.report_cut = report_cut
         self._limits = limits
         self._connections: set[ClientConnection] = set()
         self._listener: curio.io.Socket | None = None
--- a/src/daisydyke/_adapters/_limited_log.py
+++ b/src/daisydyke/_adapters/_limited_log.py
@@ -8,7 +8,7 @@
 _NOTABLE_LINES_PER_S = 200.0
 _BURST_S = 2.0
 _REPORT_INTERVAL_S = 1.0
-_ROUTINE_OUTCOMES = frozenset(('forwarded', 'merged'))
+_ROUTINE_OUTCOMES = frozenset(('forwarded', 'merged', 'caller_left'))
 
 
 class _TokenBucket:
--- a/src/daisydyke/_cli/_explain.py
+++ b/src/daisydyke/_cli/_explain.py
@@ -10,7 +10,12 @@
 import msgspec
 
 from .._decoding import DECODING_ERRORS
-from ._explain_answer import AnswerLine, describe_answer
+from ._explain_answer import (
+    AnswerLine,
+    CutLine,
+    describe_answer,
+    describe_cut,
+)
 
 
 class Candidate(msgspec.Struct):
@@ -52,6 +57,9 @@
     candidates: list[Candidate] = msgspec.field(default_factory=list)
 
 
+Line = DecisionLine | AnswerLine | CutLine
+
+
 def explain_lines(request_id: str, logs: Iterable[Path]) -> Iterator[str]:
     """Yield the lines of a request's tree.
 
@@ -69,6 +77,8 @@
     for line in lines:
         if isinstance(line, AnswerLine):
             yield from describe_answer(line)
+        elif isinstance(line, CutLine):
+            yield describe_cut(line)
     yield from _describe_attempts(
         [decision for decision in lines if isinstance(decision, DecisionLine)],
     )
@@ -99,7 +109,7 @@
 def _read_lines(
     request_id: str,
     logs: Iterable[Path],
-) -> Iterator[DecisionLine | AnswerLine]:
+) -> Iterator[Line]:
     encoded_id = request_id.encode()
     for path in logs:
         for raw_line in path.read_bytes().splitlines():
@@ -111,8 +121,8 @@
                     yield line
 
 
-def _decode_line(raw_line: bytes) -> DecisionLine | AnswerLine | None:
-    for line_type in (AnswerLine, DecisionLine):
+def _decode_line(raw_line: bytes) -> Line | None:
+    for line_type in (CutLine, AnswerLine, DecisionLine):
         with suppress(*DECODING_ERRORS):
             return msgspec.json.decode(raw_line, type=line_type)
     return None
--- a/src/daisydyke/_cli/_explain_answer.py
+++ b/src/daisydyke/_cli/_explain_answer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import Literal
 
 import msgspec
 
@@ -52,6 +53,26 @@
     slowest: list[PartLine] = msgspec.field(default_factory=list)
 
 
+class CutLine(msgspec.Struct):
+    """Logged end of one request's connection without a whole answer.
+
+    Parameters:
+        outcome: why it ended.
+        vm: VM of the gateway.
+    """
+
+    event: Literal['request_cut']
+    request_id: str
+    outcome: str
+    vm: str = ''
+    timestamp: str = ''
+
+
+def describe_cut(line: CutLine) -> str:
+    """Return a line with the cause why a request got no whole answer."""
+    return f'  {line.timestamp} {line.vm}: no whole answer: {line.outcome}'
+
+
 def describe_answer(line: AnswerLine) -> Iterator[str]:
     """Yield lines with a request's outcome and its slowest sub-requests."""
     yield f'  {line.timestamp} {line.vm}: {_format_outcome(line)}'
--- a/src/daisydyke/_cli/_gateway_servers.py
+++ b/src/daisydyke/_cli/_gateway_servers.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from .._adapters._client_connection import Handler, HttpLimits
+from .._adapters._client_connection import CutReport, Handler, HttpLimits
 from .._adapters._http_server import HttpCapacity, HttpServer
 from .._requests._routes import RoutingTable
 from ..platform._settings import NodeSettings
@@ -19,12 +19,14 @@
 def make_caller_server(
     settings: NodeSettings,
     handler: Handler,
+    report_cut: CutReport,
     current_table: Callable[[], RoutingTable | None],
 ) -> HttpServer:
     """Return the server for callers.
 
     Parameters:
         handler: answers the requests of callers.
+        report_cut: called with each request that gets no whole answer.
         current_table: returns the newest routing table, whose limits apply
             to callers; None before the first one.
     """
@@ -36,6 +38,7 @@
             int(settings.sockets * _CALLER_SOCKETS_SHARE),
             int(settings.memory_bytes * _REQUEST_MEMORY_SHARE),
         ),
+        report_cut=report_cut,
     )
 
 
--- a/src/daisydyke/_cli/_gateway_wiring.py
+++ b/src/daisydyke/_cli/_gateway_wiring.py
@@ -155,9 +155,11 @@
             self.clock,
         )
         self.request_service = RequestService(self._request_dependencies())
+        caller_handler = CallerHandler(self.request_service, self.clock)
         self.caller_server = make_caller_server(
             settings,
-            CallerHandler(self.request_service, self.clock).handle,
+            caller_handler.handle,
+            caller_handler.report_cut,
             lambda: self.table_sink.table,
         )
         self.directory_server = make_server(
--- a/src/daisydyke/_requests/_service.py
+++ b/src/daisydyke/_requests/_service.py
@@ -114,6 +114,18 @@
         self._log_answer(request, route, table, schedule, dispatch, answer)
         return answer
 
+    def record_cut(self, request_id: str, cause: str, error: str) -> None:
+        """Record a request that got no whole answer.
+
+        Parameters:
+            cause: why, see CutCause.
+            error: error of this process; empty if there was none.
+        """
+        self._dependencies.metrics.incr(f'requests_cut.{cause}')
+        self._dependencies.log.record(
+            'request_cut', request_id=request_id, outcome=cause, error=error
+        )
+
     def _answer_without_dispatch(
         self,
         request: CallerRequest,
--- a/src/daisydyke/platform/_callers.py
+++ b/src/daisydyke/platform/_callers.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from .._adapters._client_connection import CutCause
 from .._adapters._http_client import HttpRequest, HttpResponse
 from .._domain._model import HeaderFields
 from .._ports import Clock
@@ -71,6 +72,12 @@
             return _error_response(HTTPStatus.BAD_REQUEST, 'request_id_missing')
         return _encode_answer(await self._service.handle(decoded))
 
+    def report_cut(
+        self, request: HttpRequest, cause: CutCause, error: str
+    ) -> None:
+        """Record a request that got no whole answer."""
+        self._service.record_cut(_request_id(request), cause.value, error)
+
 
 class DirectoryHandler:
     """HTTP handler of callers' queries for entry VM addresses.
@@ -140,7 +147,7 @@
 
 
 def _decode_request(request: HttpRequest, now: float) -> CallerRequest | None:
-    request_id = request.headers.get(_headers.REQUEST_ID.decode(), '')
+    request_id = _request_id(request)
     if not request_id:
         return None
     target = request.target.encode('latin-1')
@@ -161,6 +168,10 @@
     )
 
 
+def _request_id(request: HttpRequest) -> str:
+    return request.headers.get(_headers.REQUEST_ID.decode(), '')
+
+
 def _fields_to_forward(fields: HeaderFields) -> HeaderFields:
     connection_options = {
         token.strip().lower()
--- a/tests/contract/test_caller_sockets.py
+++ b/tests/contract/test_caller_sockets.py
@@ -8,6 +8,7 @@
 
 from daisydyke._adapters._client_connection import (
     ClientConnection,
+    CutCause,
     HttpLimits,
     ServerState,
 )
@@ -15,7 +16,9 @@
 from daisydyke._adapters._http_client import HttpRequest, HttpResponse
 from daisydyke._domain._byte_budget import ByteBudget
 from tests.contract.test_http_server import (
+    HANDLER_DELAY_S,
     REQUEST,
+    Scenario,
     SlowHandler,
     read_all,
     run_scenario,
@@ -77,6 +80,49 @@
     return client.sending
 
 
+class TestCuts(TestCase):
+    """CutReport"""
+
+    def cuts(self, scenario: Scenario) -> list[CutCause]:
+        """Return the causes that a server reports in a scenario."""
+        causes = []
+
+        async def _scenario(server, handler, client):
+            server._state.report_cut = lambda *cut: causes.append(cut[1])
+            await client.sendall(REQUEST)
+            await curio.sleep(HANDLER_DELAY_S / 4)
+            await scenario(server, handler, client)
+            await curio.sleep(HANDLER_DELAY_S)
+
+        run_scenario(_scenario)
+        return causes
+
+    def test_caller_leaves(self) -> None:
+        """A caller that leaves is told from other causes."""
+
+        async def _scenario(server, handler, client):
+            await client.close()
+
+        self.assertThat(self.cuts(_scenario), Equals([CutCause.CALLER_LEFT]))
+
+    def test_process_ends(self) -> None:
+        """A request that the process outlives not is reported as such."""
+
+        async def _scenario(server, handler, client):
+            for connection in server._connections:
+                await connection._answer_task.cancel()
+
+        self.assertThat(self.cuts(_scenario), Equals([CutCause.STOPPED]))
+
+    def test_answered(self) -> None:
+        """An answered request is not reported."""
+
+        async def _scenario(server, handler, client):
+            await client.recv(4096)
+
+        self.assertThat(self.cuts(_scenario), Equals([]))
+
+
 class TestCallerSockets(TestCase):
     """ClientConnection"""
 
--- a/tests/contract/test_http_client.py
+++ b/tests/contract/test_http_client.py
@@ -74,6 +74,8 @@
 class EndlessServer:
     """Peer that sends bytes until the client closes the connection.
 
+    Without repeated bytes, it closes the connection itself.
+
     Attributes:
         sent_bytes: size of all that was sent.
     """
@@ -81,7 +83,7 @@
     def __init__(self, start: bytes, repeated: bytes) -> None:
         """Initialize with the first bytes and those sent again and again."""
         self._start = start
-        self._block = repeated * (_BLOCK_BYTES // len(repeated))
+        self._block = repeated * (_BLOCK_BYTES // max(1, len(repeated)))
         self.sent_bytes = 0
 
     async def serve(self, client: curio.io.Socket, address: object) -> None:
@@ -89,7 +91,7 @@
         async with client:
             await client.recv(_BLOCK_BYTES)
             await client.sendall(self._start)
-            while self.sent_bytes < _ENDLESS_BYTES:
+            while self._block and self.sent_bytes < _ENDLESS_BYTES:
                 try:
                     await client.sendall(self._block)
                 except OSError:
@@ -136,6 +138,21 @@
         self.assertThat(server.connections, Equals(1))
 
 
+class TestClosedBeforeTheEnd(TestCase):
+    """A peer closes the connection instead of answering."""
+
+    def test_is_no_violation(self) -> None:
+        """A connection that is closed differs from bytes that are wrong.
+
+        A store that closes a waiting watch was logged as one that sends
+        invalid messages.
+        """
+        for start in (b'', encode_response(b'whole')[:-1]):
+            peer = EndlessServer(start, b'')
+            error_name = curio.run(request_endless, peer)
+            self.assertThat(error_name, Equals('ConnectionLostError'), start)
+
+
 class TestEndlessBytes(TestCase):
     """A peer sends bytes until this VM closes the connection."""
 
--- a/tests/unit/test_explain_answer.py
+++ b/tests/unit/test_explain_answer.py
@@ -21,6 +21,10 @@
     '[{"service": "s3", "servers": ["i-1", "i-2"], "failure": "timeout"}, '
     '{"service": "s4", "servers": ["i-3"], "elapsed_ms": 61.5}]}'
 )
+CUT = (
+    '{"event": "request_cut", "vm": "vm-3", "request_id": "r3", '
+    '"outcome": "stopped"}'
+)
 
 
 class TestExplainAnswer(TestCase):
@@ -30,7 +34,7 @@
         """Return the explanation from a combined log of several VMs."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / 'all.log'
-            path.write_text(f'noise\n{REFUSED}\n{{broken r1\n{MERGED}\n')
+            path.write_text(f'noise\n{REFUSED}\n{{broken r1\n{MERGED}\n{CUT}\n')
             return '\n'.join(explain_lines(request_id, [path]))
 
     def test_refused(self) -> None:
@@ -48,6 +52,11 @@
         self.assertThat(explanation, Contains('s3: i-1, then i-2: timeout'))
         self.assertThat(explanation, Contains('s4: i-3: 61.5 ms'))
 
+    def test_cut(self) -> None:
+        """A request without a whole answer names the cause (LOST)."""
+        explanation = self.explain('r3')
+        self.assertThat(explanation, Contains('vm-3: no whole answer: stopped'))
+
     def test_unknown(self) -> None:
         """A request id without a log line is reported as such."""
         explanation = self.explain('r9')
