Soak: systems of 13 and 18 VMs with planned work only

Both deployments at real size: 13 VMs and 108 servers, 18 VMs and 115, stops, reloads and changes of the configuration in series, further signals during a stop, work of seconds, 45 and 60 callers of which half stay with their VM, and at the end all VMs stopped while the callers go on. Not as in the deployments: fewer requests (45 and 60 callers with pauses of 0.8 and 1 s), and their kinds in equal parts. RECOVER asks here for the quarter that the rule states, since long work is not served.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Callable
 from http import HTTPStatus
 from pathlib import Path
 
@@ -18,22 +19,44 @@
 from daisydyke.exceptions import DaisydykeError
 from soak._callers import Caller
 from soak._faults import FaultInjector
+from soak._layouts import LAYOUTS
 from soak._world import READY_PORT, SoakCluster
 
-CALLER_COUNT = 6
 FAULT_PHASE_S = 12.0
 READY_TIMEOUT_S = 15.0
 RECOVERY_S = 6.0
 MEASUREMENT_S = 2.0
-MIN_SERVED_SHARE = 0.95
 _REGRESSIONS_FILE = Path(__file__).parent / 'regressions.txt'
 
 
+_SEED_OPTIONS = (
+    click.option('--first', default=1, help='First seed.'),
+    click.option('--count', default=1, help='Number of seeds.'),
+    click.option(
+        '--regressions', is_flag=True, help='Run the seeds in regressions.txt.'
+    ),
+)
+
+
+def _seed_options(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the options that choose seeds to a command."""
+    for option in _SEED_OPTIONS:
+        command = option(command)
+    return command
+
+
 @click.command()
-@click.option('--first', default=1, help='First seed.')
-@click.option('--count', default=1, help='Number of seeds.')
+@_seed_options
+@click.option(
+    '--layout',
+    type=click.Choice(list(LAYOUTS)),
+    default='small',
+    help='Size and load of the system; the large ones have planned work only.',
+)
 @click.option(
-    '--regressions', is_flag=True, help='Run the seeds in regressions.txt.'
+    '--source',
+    type=click.Path(path_type=Path, exists=True),
+    help='Folder of the package that the VMs run, to play an older version.',
 )
 @click.option(
     '--keep',
@@ -44,6 +67,8 @@
     first: int,
     count: int,
     regressions: bool,  # noqa: FBT001
+    layout: str,
+    source: Path | None,
     keep: Path | None,
 ) -> None:
     """Run seeds one after the other; exit with 1 if a check failed."""
@@ -54,7 +79,10 @@
         seeds = _regression_seeds()
     failed = []
     for seed in seeds:
-        if not _run_seed(seed, keep):
+        with tempfile.TemporaryDirectory() as folder:
+            cluster = SoakCluster(seed, Path(folder), LAYOUTS[layout], source)
+            passed = _run_seed(cluster, keep)
+        if not passed:
             failed.append(seed)
     passed = len(seeds) - len(failed)
     click.echo(f'{passed} passed, {len(failed)} failed')
@@ -69,28 +97,30 @@
     return [int(number) for number in numbers if number.isdecimal()]
 
 
-def _run_seed(seed: int, keep: Path | None) -> bool:
-    with tempfile.TemporaryDirectory() as folder:
-        cluster = SoakCluster(seed, Path(folder))
-        report = curio.run(_soak, cluster, seed)
-        click.echo(f'seed {seed}: {report}')
-        for rule, times in Counter(cluster.violations).items():
-            click.echo(f'  {times} x {rule}')
-        if cluster.violations and keep is not None:
-            _copy_logs(cluster, keep / str(seed))
+def _run_seed(cluster: SoakCluster, keep: Path | None) -> bool:
+    report = curio.run(_soak, cluster)
+    click.echo(f'seed {cluster.seed}: {report}')
+    for rule, times in Counter(cluster.violations).items():
+        click.echo(f'  {times} x {rule}')
+    if cluster.violations and keep is not None:
+        _copy_logs(cluster, keep / str(cluster.seed))
     return not cluster.violations
 
 
 def _copy_logs(cluster: SoakCluster, folder: Path) -> None:
     folder.mkdir(parents=True, exist_ok=True)
+    violations = '\n'.join(cluster.violations)
+    (folder / 'violations.txt').write_text(f'{violations}\n')
     for vm in cluster.vms:
         (folder / vm.log_path.name).write_bytes(vm.log_path.read_bytes())
 
 
-async def _soak(cluster: SoakCluster, seed: int) -> str:
+async def _soak(cluster: SoakCluster) -> str:
+    seed = cluster.seed
+    caller_count = cluster.layout.caller_count
     callers = [
-        Caller(cluster, number, seed * CALLER_COUNT + number)
-        for number in range(CALLER_COUNT)
+        Caller(cluster, number, seed * caller_count + number)
+        for number in range(caller_count)
     ]
     injector = FaultInjector(cluster, seed)
     try:
@@ -119,8 +149,11 @@
     await curio.sleep(MEASUREMENT_S)
     sent, served = _totals(callers)
     share = (served - served_before) / max(1, sent - sent_before)
-    if share < MIN_SERVED_SHARE:
+    if share < cluster.layout.min_served_share:
         cluster.report_violation(f'RECOVER: {share:.2f} served at the end')
+    if cluster.layout.planned_only:
+        # Callers go on until the last process has gone.
+        await injector.stop_all()
 
 
 def _totals(callers: list[Caller]) -> tuple[int, int]:
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -19,25 +19,25 @@
 )
 from daisydyke._domain._model import Address
 from daisydyke.exceptions import DaisydykeError
+from soak._layouts import SMALL
 from soak._world import (
     CALLER_PORT,
     DIRECTORY_PORT,
-    SHARDS,
     SoakCluster,
     Vm,
 )
 from stand_ins.platform_server import RECORD_BYTES, response_body
 
-_DEADLINE_S = 1.5
-# For the route whose timeout is ``LONG_TIMEOUT_MS``.
-_LONG_DEADLINE_S = 4.5
+# A caller waits for so long after the route's timeout.
+_PATIENCE_S = 0.5
 _MS_PER_S = 1000
 _ADDRESS_TTL_S = 1.0
-_MEAN_GAP_S = 0.05
 _CONFIG_LIMIT_S = 3.0
+# A request whose connection ends later than this after it was sent was read.
+_LOSS_SLACK_S = 0.2
 # Must match ``top_k`` and ``min_shard_share`` in ``soak._world``.
 _TOP_K = 6
-_MIN_PARTS = 2
+_MIN_SHARE = 0.5
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Paths of the routes in ``soak._world``.
 _TARGETS = ('/all/x', '/one/x', '/move/x')
@@ -81,7 +81,8 @@
         """Send requests until cancelled."""
         while True:
             await self._send_request()
-            await curio.sleep(self._random.expovariate(1 / _MEAN_GAP_S))
+            rate = 1 / self._cluster.layout.mean_gap_s
+            await curio.sleep(self._random.expovariate(rate))
 
     async def _send_request(self) -> None:
         await self._refresh_addresses()
@@ -92,7 +93,7 @@
         started = time.monotonic()
         self.sent += 1
         try:
-            async with curio.timeout_after(_deadline_s(request)):
+            async with curio.timeout_after(self._deadline_s(request)):
                 response = await connection.request(request)
         except (DaisydykeError, curio.TaskTimeout) as error:
             await self._close_connection()
@@ -125,7 +126,7 @@
             b'',
             {'daisydyke-request-id': f'{self._number}-{number}'},
         )
-        deadline_ms = int(_deadline_s(request) * _MS_PER_S)
+        deadline_ms = int(self._deadline_s(request) * _MS_PER_S)
         request.headers['daisydyke-deadline-ms'] = str(deadline_ms)
         return request
 
@@ -169,10 +170,11 @@
         started: float,
         error: Exception,
     ) -> None:
-        """Check that the request was not run, or that a fault explains it.
+        """Check that the request was not read, or that a fault explains it.
 
-        A request that a server ran must be answered if neither the VM nor any
-        server was disturbed since its deadline before it was sent.
+        A request that a server ran, or that was held for a while, must be
+        answered if neither the VM nor any server was disturbed since its
+        deadline before it was sent.
         """
         vm = self._connected_vm()
         request_id = request.headers['daisydyke-request-id']
@@ -180,12 +182,11 @@
             run.request_id == request_id for run in self._cluster.runs
         )
         undisturbed = self._cluster.undisturbed_since(
-            vm, started - _deadline_s(request)
+            vm, started - self._deadline_s(request)
         )
-        if executed and undisturbed:
-            self._cluster.report_violation(
-                f'LOST at {vm.name}: {type(error).__name__} {error}',
-            )
+        held_s = time.monotonic() - started
+        if undisturbed and (executed or held_s > _LOSS_SLACK_S):
+            self._cluster.report_lost(vm, request, held_s, error)
 
     def _check_response(
         self,
@@ -206,7 +207,8 @@
             return
         self.served += 1
         if request.target.startswith('/all/'):
-            for error in merge_errors(request_id, response):
+            shard_sets = self._cluster.layout.shard_sets
+            for error in merge_errors(request_id, response, shard_sets):
                 self._cluster.report_violation(f'MIXED {request_id}: {error}')
             return
         service = response.headers.get('daisydyke-server-stamp', '')
@@ -239,29 +241,37 @@
                 f'CONFIG at {vm.name}: {service}, not {allowed}'
             )
 
-
-def _deadline_s(request: HttpRequest) -> float:
-    long = request.target.startswith('/one/')
-    return _LONG_DEADLINE_S if long else _DEADLINE_S
+    def _deadline_s(self, request: HttpRequest) -> float:
+        layout = self._cluster.layout
+        long = request.target.startswith('/one/')
+        timeout_ms = layout.long_timeout_ms if long else layout.timeout_ms
+        return timeout_ms / _MS_PER_S + _PATIENCE_S
 
 
-def merge_errors(request_id: str, response: HttpResponse) -> Iterator[str]:
+def merge_errors(
+    request_id: str,
+    response: HttpResponse,
+    shard_sets: tuple[tuple[str, ...], ...] = SMALL.shard_sets,
+) -> Iterator[str]:
     """Return the errors in a merged response.
 
     Parameters:
         request_id: identifier of the request; determines the expected body.
+        shard_sets: sets of shards that configurations have named.
     """
     stamps = response.headers.get('daisydyke-part-stamps', '').split(', ')
     missing = int(response.headers.get('daisydyke-missing-parts', '0'))
     services = [stamp.partition('.')[0] for stamp in stamps]
     if stamps != [f'{service}.{request_id}' for service in services]:
         yield 'a stamp of another request'
-    known_services = set(services) & set(SHARDS)
-    if len(known_services) != len(services):
+    shards = max(
+        shard_sets, key=lambda names: len(set(names).intersection(services))
+    )
+    if len(set(services).intersection(shards)) != len(services):
         yield f'shards {services}'
-    if len(services) + missing != len(SHARDS):
+    if len(services) + missing != len(shards):
         yield f'{missing} said to be missing beside {services}'
-    if len(services) < _MIN_PARTS:
+    if len(services) < _MIN_SHARE * len(shards):
         yield 'too few parts'
     parts = b''.join(response_body(service, request_id) for service in services)
     records = [
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,13 +11,7 @@
 import curio
 
 from soak._proxy import NetworkFault
-from soak._world import (
-    DRAIN_LIMIT_S,
-    GRACE_S,
-    UNSHARDED_SERVICES,
-    SoakCluster,
-    Vm,
-)
+from soak._world import DRAIN_LIMIT_S, SoakCluster, Vm
 from stand_ins.platform_server import SERVICE_TIME_S
 
 _MAX_DURATION_S = 3.0
@@ -30,6 +24,11 @@
 _RESTART_DELAY_S = 0.3
 _EXIT_MARGIN_S = 0.5
 _POLL_S = 0.05
+_MIN_RUNNING_SHARE = 0.75
+_CHANGES_IN_SERIES = 5
+_SERIES_GAP_S = 0.15
+_REPEATED_SIGNAL_SHARE = 0.02
+_REPEATED_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 _PAUSE_RANGE_S = (0.1, 1.2)
 _SLOW_RANGE_S = (0.5, 3.5)
 
@@ -47,6 +46,8 @@
         """Initialize the random draws from a seed."""
         self._cluster = cluster
         self._random = random.Random(seed)  # noqa: S311
+        planned_only = cluster.layout.planned_only
+        self._faults = _PLANNED if planned_only else (*_FAULTS, *_PLANNED)
         self.injected: list[str] = []
 
     async def run(self, duration_s: float) -> None:
@@ -54,31 +55,51 @@
         async with curio.TaskGroup() as group:
             remaining_s = duration_s
             while remaining_s > 0:
-                fault = self._random.choice(_FAULTS)
+                fault = self._random.choice(self._faults)
                 self.injected.append(fault.__name__.strip('_'))
                 await group.spawn(fault(self))
                 pause_s = self._random.uniform(*_PAUSE_RANGE_S)
                 remaining_s -= pause_s
                 await curio.sleep(pause_s)
 
+    async def stop_all(self) -> None:
+        """Stop all VMs at once, without starting them again."""
+        async with curio.TaskGroup() as group:
+            for vm in self._cluster.vms:
+                if not vm.stopping:
+                    await group.spawn(self._stop, vm)
+
     async def _kill(self) -> None:
         vm = self._send_uncatchable(signal.SIGKILL)
         if vm is None:
             return
         await curio.sleep(_RESTART_DELAY_S)
         self._restart(vm)
+        vm.mark_disturbed()
 
     async def _terminate(self) -> None:
         vm = self._choose_running_vm()
         if vm is None or vm.process is None:
             return
+        await self._stop(vm)
+        self._restart(vm)
+
+    async def _stop(self, vm: Vm) -> None:
+        """Stop a VM; further signals during the stop must not matter."""
+        process = vm.process
+        if process is None:
+            return
         vm.stopping = True
+        vm.stop_at = time.monotonic()
         vm.send_signal(signal.SIGTERM)
+        grace_s = self._cluster.layout.grace_s
         waited_s: float = 0
-        while vm.process.poll() is None and waited_s < GRACE_S + _EXIT_MARGIN_S:
+        while process.poll() is None and waited_s < grace_s + _EXIT_MARGIN_S:
             await curio.sleep(_POLL_S)
             waited_s += _POLL_S
-        exit_code = vm.process.poll()
+            if self._random.random() < _REPEATED_SIGNAL_SHARE:
+                vm.send_signal(self._random.choice(_REPEATED_SIGNALS))
+        exit_code = process.poll()
         if exit_code is None:
             self._cluster.report_violation(f'{vm.name} outlived its grace time')
             vm.send_signal(signal.SIGKILL)
@@ -87,7 +108,6 @@
             exit_code == -signal.SIGTERM and vm.is_starting()
         ):
             self._cluster.report_violation(f'{vm.name} exited with {exit_code}')
-        self._restart(vm)
 
     async def _pause(self) -> None:
         vm = self._send_uncatchable(signal.SIGSTOP)
@@ -100,8 +120,14 @@
 
     async def _hang_up(self) -> None:
         vm = self._choose_running_vm()
-        if vm is not None:
-            vm.send_signal(signal.SIGHUP)
+        if vm is None or vm.process is None:
+            return
+        process = vm.process
+        vm.send_signal(signal.SIGHUP)
+        await curio.sleep(_RESTART_DELAY_S)
+        # The interpreter itself, while it starts, cannot handle a signal.
+        if process.poll() == -signal.SIGHUP and vm.is_starting():
+            vm.start()
 
     async def _cut_store(self) -> None:
         vm = self._random.choice(self._cluster.vms)
@@ -164,24 +190,40 @@
 
     async def _stop_with_long_requests(self) -> None:
         """Stop a VM with requests that outlast its grace period."""
-        self._set_service_time(GRACE_S)
+        self._set_service_time(self._cluster.layout.grace_s)
         await curio.sleep(self._random.uniform(*_PAUSE_RANGE_S))
         await self._terminate()
         self._set_service_time(SERVICE_TIME_S)
 
     def _set_service_time(self, seconds: float) -> None:
         for server in self._cluster.servers:
-            if server.service in UNSHARDED_SERVICES:
+            if server.service in self._cluster.layout.unsharded_servers:
                 server.service_time_s = seconds
 
     async def _roll(self) -> None:
         """Stop and start VMs one after the other."""
-        for _ in self._cluster.vms[1:]:
+        for _ in range(self._cluster.layout.rolled_count):
             await self._terminate()
 
     async def _configure(self) -> None:
         self._cluster.configure(self._random.choice(('p0', 'p1')))
 
+    async def _configure_in_series(self) -> None:
+        """Change routes and the set of shards several times in a row."""
+        for _ in range(_CHANGES_IN_SERIES):
+            self._cluster.configure(
+                self._random.choice(('p0', 'p1')),
+                self._random.choice(self._cluster.layout.shard_sets),
+            )
+            await curio.sleep(_SERIES_GAP_S)
+
+    async def _reload_all(self) -> None:
+        """Tell all VMs of new settings, one shortly after the other."""
+        for vm in self._cluster.vms:
+            if not vm.stopping and not vm.is_starting():
+                vm.send_signal(signal.SIGHUP)
+            await curio.sleep(_POLL_S)
+
     async def _drain(self) -> None:
         cluster = self._cluster
         server = self._random.choice(cluster.servers)
@@ -195,9 +237,9 @@
         cluster.register(server, 'ready')
 
     def _choose_running_vm(self) -> Vm | None:
-        """Return a random running VM, or None if two or more are stopping."""
+        """Return a random running VM, or None if too few of them run."""
         vms = [vm for vm in self._cluster.vms if not vm.stopping]
-        if len(vms) < len(self._cluster.vms) - 1:
+        if len(vms) < len(self._cluster.vms) * _MIN_RUNNING_SHARE:
             return None
         return self._random.choice(vms)
 
@@ -212,7 +254,7 @@
 
     def _restart(self, vm: Vm) -> None:
         vm.start()
-        vm.mark_disturbed()
+        vm.mark_restarted()
 
     async def _hold_fault(self, vm: Vm) -> None:
         vm.mark_disturbed()
@@ -226,11 +268,20 @@
         return self._random.uniform(_MIN_DURATION_S, _MAX_DURATION_S)
 
 
+_PLANNED: tuple[Fault, ...] = (
+    FaultInjector._terminate,
+    FaultInjector._hang_up,
+    FaultInjector._slow_service,
+    FaultInjector._stop_with_long_requests,
+    FaultInjector._roll,
+    FaultInjector._configure,
+    FaultInjector._configure_in_series,
+    FaultInjector._reload_all,
+    FaultInjector._drain,
+)
 _FAULTS: tuple[Fault, ...] = (
     FaultInjector._kill,
-    FaultInjector._terminate,
     FaultInjector._pause,
-    FaultInjector._hang_up,
     FaultInjector._cut_store,
     FaultInjector._reset_store,
     FaultInjector._store_fails,
@@ -238,9 +289,4 @@
     FaultInjector._harm_server,
     FaultInjector._reset_server,
     FaultInjector._server_fails,
-    FaultInjector._slow_service,
-    FaultInjector._stop_with_long_requests,
-    FaultInjector._roll,
-    FaultInjector._configure,
-    FaultInjector._drain,
 )
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import subprocess  # noqa: S404
 import sys
@@ -13,16 +14,13 @@
 
 import curio
 
+from daisydyke._adapters._http_client import HttpRequest
 from daisydyke._domain._model import Address
+from soak._layouts import SMALL, Layout
 from soak._proxy import FaultProxy
 from stand_ins.object_store import ObjectStoreStandIn
 from stand_ins.platform_server import PlatformServerStandIn, RequestRun
 
-SHARDS = ('s0', 's1', 's2', 's3')
-UNSHARDED_SERVICES = ('p0', 'p1')
-DOMAINS = ('north', 'south')
-VM_COUNT = 4
-GRACE_S = 3.0
 DRAIN_LIMIT_S = 3.0
 SETTLING_TIME_S = 4.0
 CALLER_PORT = 8104
@@ -32,9 +30,6 @@
 _PROXY_PORT = 9500
 _STORE_PORT = 8102
 _INTERNAL_PORTS = (7380, 7395)
-_TIMEOUT_MS = 1000
-# More than the grace period leaves, so that stops meet requests in progress.
-LONG_TIMEOUT_MS = 4000
 _OCTET_VALUES = 250
 
 
@@ -43,8 +38,12 @@
     """An entry VM with its process and its proxy to the object store.
 
     Parameters:
+        source: see SoakCluster.
         disturbed_at: monotonic time of the start or end of the latest fault;
             time bounds hold again ``SETTLING_TIME_S`` later.
+        failed_at: the same without planned stops and restarts, which excuse
+            no lost answer.
+        stop_at: monotonic time of the latest planned stop; 0 before the first.
         stopping: whether the process is shutting down, killed or paused.
         log_lines_at_start: lines in the log when the latest process was
             started.
@@ -55,8 +54,11 @@
     settings_path: Path
     log_path: Path
     store_proxy: FaultProxy
+    source: Path | None = None
     process: subprocess.Popen[bytes] | None = None
     disturbed_at: float = 0
+    failed_at: float = 0
+    stop_at: float = 0
     stopping: bool = False
     log_lines_at_start: int = 0
 
@@ -67,6 +69,9 @@
             self.log_lines_at_start = len(
                 self.log_path.read_bytes().splitlines(),
             )
+        environment = dict(os.environ)
+        if self.source is not None:
+            environment['PYTHONPATH'] = str(self.source)
         with self.log_path.open('ab') as log:
             self.process = subprocess.Popen(  # noqa: S603
                 [
@@ -77,6 +82,7 @@
                 ],
                 stdout=log,
                 stderr=log,
+                env=environment,
             )
         self.stopping = False
 
@@ -100,6 +106,11 @@
 
     def mark_disturbed(self) -> None:
         """Record that the VM is affected by a fault now."""
+        self.mark_restarted()
+        self.failed_at = self.disturbed_at
+
+    def mark_restarted(self) -> None:
+        """Record that the VM starts again after a planned stop."""
         self.disturbed_at = time.monotonic()
 
 
@@ -110,10 +121,14 @@
     Parameters:
         seed: seed of the soak; determines the loopback addresses.
         folder: folder of the settings and logs of the VMs.
+        layout: size and load of the system.
+        source: folder of the package that the VMs run; the installed one by
+            default.
         runs: requests that the backend servers started to run.
         proxies: proxy in front of each backend server, by server identifier.
         versions: for each configuration, the monotonic time at which it was
             stored and the service that ``/move/`` is routed to.
+        shards: services that the newest configuration names as shards.
         draining_since: monotonic time at which the state ``draining`` was
             stored, by server identifier.
         violations: messages of the checks that failed.
@@ -123,6 +138,8 @@
 
     seed: int
     folder: Path
+    layout: Layout = SMALL
+    source: Path | None = None
     store: ObjectStoreStandIn = field(default_factory=ObjectStoreStandIn)
     runs: list[RequestRun] = field(default_factory=list)
     servers: list[PlatformServerStandIn] = field(default_factory=list)
@@ -132,6 +149,7 @@
     draining_since: dict[str, float] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
     servers_disturbed_at: float = 0
+    shards: tuple[str, ...] = ()
 
     def host(self, last_octet: int) -> str:
         """Return a loopback address that other seeds do not use."""
@@ -142,28 +160,34 @@
         """Start the stand-ins, proxies and VMs; does not wait for readiness."""
         store = Address(self.host(1), _STORE_PORT)
         await self.store.start(store)
-        for service in (*SHARDS, *UNSHARDED_SERVICES):
-            for domain in DOMAINS:
-                await self._add_server(service, domain)
-        self.configure('p0')
-        for number in range(VM_COUNT):
+        shards = [name for names in self.layout.shard_sets for name in names]
+        server_counts = dict.fromkeys(shards, 2) | self.layout.unsharded_servers
+        for service, count in server_counts.items():
+            for number in range(count):
+                await self._add_server(service, number)
+        self.configure('p0', self.layout.shard_sets[0])
+        for number in range(self.layout.vm_count):
             await self._add_vm(number, store)
 
-    def configure(self, moved_to: str) -> None:
+    def configure(
+        self, moved_to: str, shards: tuple[str, ...] | None = None
+    ) -> None:
         """Store a new configuration.
 
         Parameters:
             moved_to: service that ``/move/`` is routed to.
+            shards: services of ``/all/``; as before by default.
         """
         version = len(self.versions) + 1
+        self.shards = shards or self.shards
         routes = [
             route
-            for number in range(VM_COUNT)
-            for route in _routes(self.host(10 + number), moved_to)
+            for number in range(self.layout.vm_count)
+            for route in self._routes(self.host(10 + number), moved_to)
         ]
         services = [
             {'name': name, 'max_connections': 60}
-            for name in (*SHARDS, *UNSHARDED_SERVICES)
+            for name in dict.fromkeys(server.service for server in self.servers)
         ]
         document = {'version': version, 'routes': routes, 'services': services}
         self.store.put('config', 'main', document)
@@ -172,9 +196,9 @@
     def register(self, server: PlatformServerStandIn, state: str) -> None:
         """Store the registration of a server with the given state."""
         server_id = server.server_id
-        registration = server.registration(
-            self.proxies[server_id].listen, state
-        )
+        proxy = self.proxies.get(server_id)
+        address = server.address if proxy is None else proxy.listen
+        registration = server.registration(address, state)
         self.store.put('servers', server_id, registration)
 
     def bounds_hold(self, vm: Vm, now: float) -> bool:
@@ -194,7 +218,7 @@
         Parameters:
             start: monotonic time since which faults are considered.
         """
-        return max(vm.disturbed_at, self.servers_disturbed_at) < start
+        return max(vm.failed_at, self.servers_disturbed_at) < start
 
     def mark_servers_disturbed(self) -> None:
         """Record a fault of servers or of their connections now."""
@@ -204,6 +228,22 @@
         """Record a failed check."""
         self.violations.append(rule)
 
+    def report_lost(
+        self, vm: Vm, request: HttpRequest, held_s: float, error: Exception
+    ) -> None:
+        """Record a request without an answer, with what tells its cause.
+
+        Parameters:
+            held_s: seconds for which it was open.
+        """
+        now = time.monotonic()
+        stop = f'{now - vm.stop_at:.2f} s after its stop' if vm.stop_at else ''
+        request_id = request.headers['daisydyke-request-id']
+        self.report_violation(
+            f'LOST at {vm.name}: {request_id} {request.target}, '
+            f'{held_s:.2f} s after it was sent, {stop} ({error})',
+        )
+
     def check_draining(self, server: PlatformServerStandIn) -> None:
         """Check that a draining server runs no request after the time limit.
 
@@ -253,23 +293,52 @@
             if vm.process is not None:
                 vm.process.wait()
 
-    async def _add_server(self, service: str, domain: str) -> None:
+    def _routes(self, host: str, moved_to: str) -> list[dict[str, object]]:
+        shared: dict[str, object] = {
+            'host': host,
+            'timeout_ms': self.layout.timeout_ms,
+            'target_latency_ms': 400,
+            'route_type': 'idempotent',
+            'max_attempts': 3,
+        }
+        gather = {
+            'gather': list(self.shards),
+            'top_k': 6,
+            'min_shard_share': 0.5,
+        }
+        once = {
+            'service': 'p0',
+            'route_type': 'non_idempotent',
+            'timeout_ms': self.layout.long_timeout_ms,
+        }
+        moved = {'service': moved_to}
+        return [
+            {**shared, **gather, 'name': f'all {host}', 'path_prefix': '/all/'},
+            {**shared, **once, 'name': f'one {host}', 'path_prefix': '/one/'},
+            {**shared, **moved, 'name': f'mv {host}', 'path_prefix': '/move/'},
+        ]
+
+    async def _add_server(self, service: str, copy: int) -> None:
         number = len(self.servers)
+        layout = self.layout
         server = PlatformServerStandIn(
-            f'i-{service}-{domain}',
+            f'i-{service}-{copy}',
             service,
-            domain,
+            layout.domains[number % len(layout.domains)],
             Address(self.host(2), _SERVER_PORT + number),
             self.runs,
         )
+        if service in layout.unsharded_servers:
+            server.draw_service_time_s = layout.draw_service_time_s
         await server.start()
-        proxy = FaultProxy(
-            Address(self.host(2), _PROXY_PORT + number),
-            server.address,
-        )
-        await proxy.start()
         self.servers.append(server)
-        self.proxies[server.server_id] = proxy
+        if not layout.planned_only:
+            proxy = FaultProxy(
+                Address(self.host(2), _PROXY_PORT + number),
+                server.address,
+            )
+            await proxy.start()
+            self.proxies[server.server_id] = proxy
         self.register(server, 'ready')
 
     async def _add_vm(self, number: int, store: Address) -> None:
@@ -278,40 +347,17 @@
         await proxy.start()
         name = f'vm-{number}'
         path = self.folder / f'{name}.json'
-        path.write_text(json.dumps(_settings(name, host, number, proxy)))
-        vm = Vm(name, host, path, self.folder / f'{name}.log', proxy)
+        settings = _settings(self.layout, name, host, number, proxy)
+        path.write_text(json.dumps(settings))
+        log_path = self.folder / f'{name}.log'
+        vm = Vm(name, host, path, log_path, proxy, self.source)
         vm.mark_disturbed()
         vm.start()
         self.vms.append(vm)
 
 
-def _routes(host: str, moved_to: str) -> list[dict[str, object]]:
-    shared: dict[str, object] = {
-        'host': host,
-        'timeout_ms': _TIMEOUT_MS,
-        'target_latency_ms': 400,
-        'route_type': 'idempotent',
-        'max_attempts': 3,
-    }
-    gather = {'gather': list(SHARDS), 'top_k': 6, 'min_shard_share': 0.5}
-    once = {
-        'service': 'p0',
-        'route_type': 'non_idempotent',
-        'timeout_ms': LONG_TIMEOUT_MS,
-    }
-    return [
-        {**shared, **gather, 'name': f'all {host}', 'path_prefix': '/all/'},
-        {**shared, **once, 'name': f'one {host}', 'path_prefix': '/one/'},
-        {
-            **shared,
-            'service': moved_to,
-            'name': f'move {host}',
-            'path_prefix': '/move/',
-        },
-    ]
-
-
 def _settings(
+    layout: Layout,
     name: str,
     host: str,
     number: int,
@@ -320,7 +366,7 @@
     return {
         'node_name': name,
         'ip': host,
-        'zone': DOMAINS[number % len(DOMAINS)],
+        'zone': layout.domains[number % len(layout.domains)],
         'listen_addrs': {
             'front': f'{host}:{CALLER_PORT}',
             'readiness': f'{host}:{READY_PORT}',
@@ -329,5 +375,9 @@
         'internal_ports': list(_INTERNAL_PORTS),
         'platform': {'address': str(store.listen)},
         'bootstrap': True,
-        'bounds': {'grace_s': GRACE_S, 'retry_slack': 100, 'ttl_max_s': 2},
+        'bounds': {
+            'grace_s': layout.grace_s,
+            'retry_slack': 100,
+            'ttl_max_s': 2,
+        },
     }
--- a/stand_ins/platform_server.py
+++ b/stand_ins/platform_server.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -43,6 +44,8 @@
     Parameters:
         runs: record of the requests run; may be shared by several servers.
         service_time_s: seconds that a request runs.
+        draw_service_time_s: draws these seconds for a request, given the
+            seconds above; returns them unchanged by default.
         fails: requests run and are answered with status 500.
         loses: requests run, then the connection is closed unanswered.
         sheds: requests are rejected with status 503 without being run.
@@ -55,6 +58,7 @@
     address: Address
     runs: list[RequestRun] = field(default_factory=list)
     service_time_s: float = SERVICE_TIME_S
+    draw_service_time_s: Callable[[float], float] = float
     fails: bool = False
     loses: bool = False
     sheds: bool = False
@@ -104,7 +108,7 @@
         )
         self.running += 1
         try:
-            await curio.sleep(self.service_time_s)
+            await curio.sleep(self.draw_service_time_s(self.service_time_s))
         finally:
             self.running -= 1
         return self._answer(request_id)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -11,7 +11,8 @@
 from daisydyke._adapters._http_client import HttpResponse
 from daisydyke._domain._model import Address
 from soak._callers import merge_errors
-from soak._world import DRAIN_LIMIT_S, SHARDS, SoakCluster
+from soak._layouts import SMALL
+from soak._world import DRAIN_LIMIT_S, SoakCluster
 from stand_ins.platform_server import (
     RECORD_BYTES,
     PlatformServerStandIn,
@@ -20,6 +21,7 @@
 )
 
 REQUEST_ID = 'r1'
+SHARDS = SMALL.shard_sets[0]
 TOP_K = 6
 SERVER = PlatformServerStandIn('i-1', 'p0', 'north', Address('h', 1))
 
