--- a/tests/contract/test_caller_sockets.py
+++ b/tests/contract/test_caller_sockets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import curio
 from testtools import TestCase
 from testtools.matchers import Equals, StartsWith
@@ -25,6 +27,8 @@
 )
 
 BUDGET_BYTES = 4096
+# More than is read behind a request.
+EXCESS_BYTES = 1 << 19
 MALFORMED = b'no request\r\n\r\n'
 
 
@@ -80,6 +84,66 @@
     return client.sending
 
 
+class ClosingClient(UnreadClient):
+    """Socket whose request arrives just as its connection is closed.
+
+    Parameters:
+        close: closes the connection.
+    """
+
+    def __init__(self, close: Callable[[ClientConnection], Awaitable[object]]):
+        """Initialize with one request."""
+        super().__init__(REQUEST)
+        self._close = close
+        self.connection: ClientConnection | None = None
+
+    async def recv(self, maxsize: int) -> bytes:
+        """Return the request once the connection is being closed."""
+        if self.connection is not None:
+            await self._close(self.connection)
+        return await super().recv(maxsize)
+
+
+async def _serve_closing(client: ClosingClient) -> list[str]:
+    """Serve a connection that is closed; return the requests handled."""
+    targets = []
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        targets.append(request.target)
+        await curio.sleep(HANDLER_DELAY_S)
+        return HttpResponse(200, b'ok')
+
+    async def make_room(connection: ClientConnection) -> bool:
+        return False
+
+    state = ServerState(handle, True, RuntimeClock(), ByteBudget(BUDGET_BYTES))
+    client.connection = ClientConnection(state, client, HttpLimits(), make_room)
+    task = await curio.spawn(client.connection.run, daemon=True)
+    await curio.ignore_after(1, task.join())
+    return targets
+
+
+async def _close_overdue(connection: ClientConnection) -> None:
+    await connection.close_if_overdue(connection.wait_started_at + 1000)
+
+
+class TestClosingConnections(TestCase):
+    """A request arrives as its connection is closed (LOST).
+
+    It was handed to the handler, and so to a server, and then cut off.
+    """
+
+    def test_time_out(self) -> None:
+        """A request that meets the idle time-out is not handled."""
+        client = ClosingClient(_close_overdue)
+        self.assertThat(curio.run(_serve_closing, client), Equals([]))
+
+    def test_limit(self) -> None:
+        """A request that meets a limit on connections is not handled."""
+        client = ClosingClient(ClientConnection.close)
+        self.assertThat(curio.run(_serve_closing, client), Equals([]))
+
+
 class TestCuts(TestCase):
     """CutReport"""
 
@@ -152,3 +216,18 @@
         received, cancelled = run_scenario(_scenario)
         self.assertThat(received, StartsWith(b'HTTP/1.1 200 '))
         self.assertThat(cancelled, Equals(0))
+
+    def test_request_in_progress_outlasts_excess_bytes(self) -> None:
+        """Too many bytes behind a request do not end its answer (LOST).
+
+        A request that a server ran was cut off.
+        """
+
+        async def _scenario(server, handler: SlowHandler, client):
+            await client.sendall(REQUEST)
+            await curio.sleep(HANDLER_DELAY_S / 4)
+            await client.sendall(b'x' * EXCESS_BYTES)
+            return await client.recv(65536)
+
+        received = run_scenario(_scenario)
+        self.assertThat(received, StartsWith(b'HTTP/1.1 200 '))
--- a/tests/contract/test_http_server.py
+++ b/tests/contract/test_http_server.py
@@ -285,6 +285,41 @@
 SLOW_BODY = b'a' * 20_000
 
 
+class TestFailedHandler(TestCase):
+    """A handler fails with an error that nobody expected (LOST).
+
+    Its caller got no answer, and its connection stayed open.
+    """
+
+    def answer_to(self, response: HttpResponse | None) -> bytes:
+        """Return what a client gets.
+
+        Parameters:
+            response: response that the handler returns; None if it fails.
+        """
+
+        async def _handle(request: HttpRequest) -> HttpResponse:
+            if response is None:
+                raise RuntimeError('unexpected')
+            return response
+
+        async def _scenario(server, handler, client):
+            server._state.handler = _handle
+            await client.sendall(REQUEST)
+            return await read_all(client)
+
+        return run_scenario(_scenario)
+
+    def test_error(self) -> None:
+        """The client gets 500, which promises nothing."""
+        self.assertThat(self.answer_to(None), StartsWith(b'HTTP/1.1 500 '))
+
+    def test_response_that_cannot_be_sent(self) -> None:
+        """A field that HTTP does not permit is no reason for silence."""
+        response = HttpResponse(200, b'', {'x': 'a\x00b'})
+        self.assertThat(self.answer_to(response), StartsWith(b'HTTP/1.1 500 '))
+
+
 class TestSlowClients(TestCase):
     """Many clients begin a request and never complete it."""
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -84,6 +84,15 @@
             Contains(str(self.path)),
         )
 
+    def test_numbers_without_bound(self) -> None:
+        """A number that is too large is a failure with its rule (LOST).
+
+        At a reload it ended the process with all requests in it.
+        """
+        self.write_settings(limits={'memory_mb': 1e305})
+        failure = load_node_settings(self.path).failure()
+        self.assertThat(str(failure), Contains('$'))
+
     def test_missing_file(self) -> None:
         """A file that cannot be read is a failure."""
         error = load_node_settings(self.path).failure()
