Hand no request on while its connection is being closed

What callers saw: a request on a kept connection ended without an answer though a server had it (LOST), at an idle time-out, a limit on connections, or in the drain of a connection that has just been accepted. Cause: closing cancels the task that reads. If bytes have just arrived, that task still runs until it next waits: it read the request, started to answer it, and then cancelled its own answer. Change: a connection that is being closed handles nothing more; such a request crosses the close and reaches no server, as the rule allows. Evidence: tests/contract/test_caller_sockets.py, TestClosingConnections: the request reached the handler before, and does not now.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -195,7 +195,7 @@
         await self._stop_reading()
 
     async def _read(self) -> None:
-        going_on = True
+        going_on = not self._stopped
         while going_on:
             # Nothing refers to what was received while more is awaited.
             going_on = await self._handle(await self._client.recv(_READ_BYTES))
@@ -204,6 +204,8 @@
         """Handle received bytes; return whether to go on reading."""
         if not received:
             self._cut_cause = CutCause.CALLER_LEFT
+        if self._stopped or not received:
+            # What is handled while the connection closes would be cut off.
             return False
         if not await self._acquire(len(received)):
             await self._refuse()
