Answer a request whatever its caller sends behind it

What callers saw: a request that a server had ended without an answer (LOST) when more than 256 KB came behind it. Cause: the reading task gave up, and with it the answer in progress. Change: it reads no more, as at the limit on memory, and the answer goes out. Evidence: test_request_in_progress_outlasts_excess_bytes got nothing before.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -212,14 +212,21 @@
             return False
         self._http.receive_data(received)
         if self._answer_task is not None:
-            self._pipelined_bytes += len(received)
-            return self._pipelined_bytes <= _MAXIMUM_PIPELINED_BYTES
+            return await self._count_pipelined(len(received))
         self._pipelined_bytes = 0
         if not await self._parse_or_send_error():
             return False
         await self._start_answer()
         return True
 
+    async def _count_pipelined(self, size: int) -> bool:
+        """Count bytes behind a request; return whether to go on reading."""
+        self._pipelined_bytes += size
+        if self._pipelined_bytes <= _MAXIMUM_PIPELINED_BYTES:
+            return True
+        await self._refuse()
+        return False
+
     async def _refuse(self) -> None:
         """Refuse what is being received; a request in progress is answered."""
         if self._answer_task is None:
