Answer a request whose handler fails

What callers saw: no answer at all, on a connection that stayed open, when a task that answers ended by an unexpected error or with a response that HTTP does not permit to be sent (LOST). Cause: nobody owed the answer any more once the handler had failed. Change: the connection answers 500, which promises nothing, closes, and reports the error with the request's id. Evidence: tests/contract/test_http_server.py, TestFailedHandler: no answer within 3 s before, 500 at once now.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -19,7 +19,13 @@
 _READ_BYTES = 65536
 _MAXIMUM_PIPELINED_BYTES = 262144
 _RETRY_AFTER_S = 1
+# It promises nothing, since the request may have been run.
+_FAILURE = HttpResponse(
+    HTTPStatus.INTERNAL_SERVER_ERROR,
+    b'{"code":"internal_server_error","outcome":"unknown"}',
+)
 
+# An OSError closes the connection without a response.
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
@@ -323,7 +329,7 @@
                 request = self._next_request
                 self._next_request = None
                 reusable = await self._answer(request)
-        except OSError:
+        except (OSError, h11.LocalProtocolError):
             reusable = False
         finally:
             self._answer_task = None
@@ -341,22 +347,39 @@
         except curio.CancelledError:
             self._state.report_cut(request, self._cut_cause, '')
             raise
-        except Exception as error:
-            self._state.report_cut(request, CutCause.FAILED, _describe(error))
-            raise
         finally:
             self._state.requests_in_progress -= 1
         return await self._begin_next_cycle()
 
     async def _respond(self, request: HttpRequest) -> None:
-        response = await self._state.handler(request)
-        payload = encode_response(
+        response = await self._call_handler(request)
+        try:
+            payload = self._encode(request, response)
+        except h11.LocalProtocolError as error:
+            payload = self._encode(request, self._fail(request, error))
+        await self._client.sendall(payload)
+
+    async def _call_handler(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self._state.handler(request)
+        except OSError:
+            raise
+        except Exception as error:
+            return self._fail(request, error)
+
+    def _fail(self, request: HttpRequest, error: Exception) -> HttpResponse:
+        self._state.report_cut(
+            request, CutCause.FAILED, f'{type(error).__name__}: {error}'
+        )
+        return _FAILURE
+
+    def _encode(self, request: HttpRequest, response: HttpResponse) -> bytes:
+        return encode_response(
             self._http,
             response,
-            last=self._state.closing,
+            last=self._state.closing or response is _FAILURE,
             bodiless=request.method == 'HEAD',
         )
-        await self._client.sendall(payload)
 
     async def _begin_next_cycle(self) -> bool:
         """Parse what has arrived; return whether the connection stays open."""
@@ -398,7 +421,3 @@
                 and self._head.method == b'HEAD',
             ),
         )
-
-
-def _describe(error: Exception) -> str:
-    return f'{type(error).__name__}: {error}'
