Keep running when a reload finds a number without bound

What callers saw: at a SIGHUP with a memory of 1e305 MB in the settings file, the process ended with all requests in it (LOST). Cause: the conversion to bytes raises OverflowError, which nothing caught. Change: a failure that names file and path, as for other invalid settings; the settings of the start stay in force. Evidence: tests/platform/test_settings.py, test_numbers_without_bound, raised it.

--- a/src/daisydyke/platform/_settings.py
+++ b/src/daisydyke/platform/_settings.py
@@ -135,6 +135,10 @@
         return Failure(
             InvalidDocumentError(source, '$.listen_addrs', str(error)),
         )
+    except OverflowError as error:
+        return Failure(
+            InvalidDocumentError(source, '$.limits.memory_mb', str(error)),
+        )
 
 
 def _convert(settings: _Settings) -> NodeSettings:
