Let no signal interrupt the last steps of a planned stop

What operators saw: a process that had answered everything ended with -15 or -1 when a second SIGTERM or a SIGHUP reached it near its end, as if it had been killed. Cause: the interpreter restores the default action of signals that have a handler before it exits. Change: they are ignored from the end of the stop on; the interpreter keeps that.

--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -57,13 +57,19 @@
     gateway.log.record('start', domain=settings.domain)
     signals = SignalStream(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     await start(gateway)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(_GC_ALLOCATION_THRESHOLD)
+    _keep_initial_objects()
     while await signals.next() is signal.SIGHUP:
         _log_settings_change(gateway, path)
     await leave(gateway)
     await gateway.close()
+    signals.ignore()
+
+
+def _keep_initial_objects() -> None:
+    """Let the garbage collector pass over all that exists after the start."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_GC_ALLOCATION_THRESHOLD)
 
 
 def _log_settings_change(gateway: Gateway, path: Path) -> None:
