End a planned stop in time after a pause of the process

What callers saw: on a machine that got no processor for 0.8 s during a stop, the process went on until after its grace period, when it is killed with all requests that it still had to answer (LOST). Cause: each step of the stop had a length of its own, so that every delay moved the end. Change: the end is a point in time, and the drain gets what is left until then. Evidence: tests/platform/test_leaving.py, test_time_without_processor: 2.16 s of 2.0 s before, less now.

--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -187,16 +187,25 @@
     answered with what is known of them.
     """
     grace_s = gateway.settings.grace_s
-    open_requests = gateway.request_service.open_requests
+    end_at = gateway.clock.monotonic() + grace_s - _EXIT_MARGIN_S
     gateway.log.record('leaving')
     gateway.membership.leave()
-    open_requests.end_at = gateway.clock.monotonic() + grace_s - _EXIT_MARGIN_S
+    gateway.request_service.open_requests.end_at = end_at
     gateway.caller_server.stop_keep_alive()
     await curio.sleep(grace_s * _LINGER_SHARE)
-    drain_timeout_s = grace_s * (1 - _LINGER_SHARE) - _EXIT_MARGIN_S
-    await curio.ignore_after(drain_timeout_s, gateway.caller_server.drain())
+    await _drain_until(gateway, end_at)
+    await _end_requests(gateway)
+
+
+async def _drain_until(gateway: Gateway, end_at: float) -> None:
+    # The process may have got no processor for a part of the time.
+    left_s = max(0, end_at - gateway.clock.monotonic())
+    await curio.ignore_after(left_s, gateway.caller_server.drain())
+
+
+async def _end_requests(gateway: Gateway) -> None:
     ended = gateway.caller_server.requests_in_progress
-    await open_requests.end_all()
+    await gateway.request_service.open_requests.end_all()
     await curio.ignore_after(_LAST_ANSWERS_S, gateway.caller_server.drain())
     gateway.log.record(
         'stop',
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -8,6 +8,7 @@
 
 import sys
 import tempfile
+import time
 from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 from itertools import count
@@ -35,6 +36,9 @@
 EARLY_S = 0.5
 # Too near to the end for a request to be served.
 LATE_S = 1.5
+# From here on, the process gets no processor for a while.
+HELD_AT_S = 0.9
+HELD_S = 0.8
 HEAD = (
     f'POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 4\r\n'
     'Daisydyke-Request-Id: {id}\r\n\r\n'
@@ -153,6 +157,11 @@
     return stop
 
 
+async def _hold_processor(after_s: float) -> None:
+    await curio.sleep(after_s)
+    time.sleep(HELD_S)
+
+
 async def _send_later(
     world: World, request_id: str, after_s: float, delay_s: float
 ) -> None:
@@ -160,9 +169,14 @@
     await world.send(request_id, delay_s)
 
 
-def _run(requests: dict[str, tuple[float, float]]) -> Stop:
+def _run(
+    requests: dict[str, tuple[float, float]], held_at_s: float | None = None
+) -> Stop:
     async def _main() -> Stop:
-        return await _stop_with(await _start_world(), requests)
+        world = await _start_world()
+        if held_at_s is not None:
+            await curio.spawn(_hold_processor, held_at_s, daemon=True)
+        return await _stop_with(world, requests)
 
     with tempfile.TemporaryFile('w') as log:
         with mock.patch.object(sys, 'stdout', log):
@@ -188,3 +202,12 @@
         answer = stop.answers.get('late', b'')
         self.assertThat(answer, Contains(b' 503 '))
         self.assertThat(answer.lower(), Contains(b'retry-after: 0.'))
+
+    def test_time_without_processor(self) -> None:
+        """A process that gets no processor for a while ends in time (LOST).
+
+        It was killed at the end of the grace period with its requests.
+        """
+        stop = _run({'before': (0, 0)}, held_at_s=HELD_AT_S)
+        self.assertThat(stop.answers.get('before', b''), Contains(b' 504 '))
+        self.assertThat(stop.took_s, LessThan(GRACE_S))
