Notice a caller that leaves after too many bytes

Change: what is beyond a limit is read and dropped, and the connection closes after the answer. The same where memory is short.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -135,6 +135,7 @@
         self._body = bytearray()
         self._held_bytes = 0
         self._pipelined_bytes = 0
+        self._has_dropped = False
         self._answer_task: curio.Task | None = None
         self._reader_task: curio.Task | None = None
         self._request_incomplete = False
@@ -213,32 +214,34 @@
         if self._stopped or not received:
             # What is handled while the connection closes would be cut off.
             return False
+        if self._answer_task is not None:
+            await self._keep_for_later(received)
+            return True
         if not await self._acquire(len(received)):
-            await self._refuse()
+            await self._send_error(HTTPStatus.SERVICE_UNAVAILABLE)
             return False
         self._http.receive_data(received)
-        if self._answer_task is not None:
-            return await self._count_pipelined(len(received))
         self._pipelined_bytes = 0
         if not await self._parse_or_send_error():
             return False
         await self._start_answer()
         return True
 
-    async def _count_pipelined(self, size: int) -> bool:
-        """Count bytes behind a request; return whether to go on reading."""
-        self._pipelined_bytes += size
-        if self._pipelined_bytes <= _MAXIMUM_PIPELINED_BYTES:
-            return True
-        await self._refuse()
-        return False
+    async def _keep_for_later(self, received: bytes) -> None:
+        """Keep what arrives behind a request in progress, within limits.
 
-    async def _refuse(self) -> None:
-        """Refuse what is being received; a request in progress is answered."""
-        if self._answer_task is None:
-            await self._send_error(HTTPStatus.SERVICE_UNAVAILABLE)
+        Beyond them it is dropped, and the connection closes after the answer.
+        """
+        self._pipelined_bytes += len(received)
+        within_limits = (
+            not self._has_dropped
+            and self._pipelined_bytes <= _MAXIMUM_PIPELINED_BYTES
+            and await self._acquire(len(received))
+        )
+        if within_limits:
+            self._http.receive_data(received)
         else:
-            await self._answer_task.join()
+            self._has_dropped = True
 
     async def _acquire(self, size: int) -> bool:
         """Count received bytes, at the expense of slower clients if needed."""
@@ -377,15 +380,22 @@
         return encode_response(
             self._http,
             response,
-            last=self._state.closing or response is _FAILURE,
+            last=self._is_last() or response is _FAILURE,
             bodiless=request.method == 'HEAD',
         )
 
+    def _is_last(self) -> bool:
+        """Return whether the connection closes with the next response."""
+        if self._has_dropped:
+            return True
+        return self._state.closing
+
     async def _begin_next_cycle(self) -> bool:
         """Parse what has arrived; return whether the connection stays open."""
         reusable = (
             self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
+            and not self._has_dropped
             and not self._state.closing
         )
         if not reusable:
--- /dev/null
+++ b/tests/contract/test_unanswered_requests.py
@@ -0,0 +1,34 @@
+"""Tests of requests that were read whole and that get no whole answer."""
+
+from __future__ import annotations
+
+import curio
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from tests.contract.test_http_server import (
+    HANDLER_DELAY_S,
+    REQUEST,
+    SlowHandler,
+    run_scenario,
+)
+
+# More than is read behind a request.
+EXCESS_BYTES = 1 << 19
+
+
+class TestUnansweredRequests(TestCase):
+    """ClientConnection"""
+
+    def test_caller_leaves_after_excess_bytes(self) -> None:
+        """A request is cancelled whatever its caller sent behind it (GONE)."""
+
+        async def _scenario(server, handler: SlowHandler, client):
+            await client.sendall(REQUEST)
+            await curio.sleep(HANDLER_DELAY_S / 4)
+            await client.sendall(b'x' * EXCESS_BYTES)
+            await client.close()
+            await curio.sleep(HANDLER_DELAY_S / 4)
+            return handler.cancelled_count
+
+        self.assertThat(run_scenario(_scenario), Equals(1))
