Answer what has been read behind a request before a planned stop closes

What callers saw: a whole request that had been read behind another one, on the same connection, ended without an answer at SIGTERM (LOST). Cause: while the process stops, the next answer was the connection's last, whatever had been read meanwhile. Change: a connection is closed with the answer to the last request that was read; one that got an answer without 'close' just before stays open until it is idle.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -385,10 +385,13 @@
         )
 
     def _is_last(self) -> bool:
-        """Return whether the connection closes with the next response."""
+        """Return whether the connection closes with the next response.
+
+        What has been read behind a request is answered first.
+        """
         if self._has_dropped:
             return True
-        return self._state.closing
+        return self._state.closing and not self._http.trailing_data[0]
 
     async def _begin_next_cycle(self) -> bool:
         """Parse what has arrived; return whether the connection stays open."""
@@ -396,7 +399,6 @@
             self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and not self._has_dropped
-            and not self._state.closing
         )
         if not reusable:
             return False
