Answer requests that wait for the store when the process ends

What callers saw: after a pause of the process shortly before the end of a planned stop, with a store that does not answer, a request that a server had ended without an answer (LOST). Cause: a dispatch waits up to 0.5 s for what changed during the pause; the end of the stop wakes only those that wait for servers. Change: the end of the stop ends that wait too, and a request that has waited is taken by the time that is left now.

--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -205,6 +205,7 @@
 
 async def _end_requests(gateway: Gateway) -> None:
     ended = gateway.caller_server.requests_in_progress
+    await gateway.pause_guard.stop()
     await gateway.request_service.open_requests.end_all()
     await curio.ignore_after(_LAST_ANSWERS_S, gateway.caller_server.drain())
     gateway.log.record(
--- a/src/daisydyke/_mirror/_pause_guard.py
+++ b/src/daisydyke/_mirror/_pause_guard.py
@@ -41,6 +41,7 @@
         self._log = log
         self._ran_at: float | None = None
         self._refreshed: curio.Event | None = None
+        self._stopped = False
 
     async def run(self) -> None:
         """Detect pauses until cancelled."""
@@ -56,11 +57,19 @@
 
         Returns at once unless this process has just been paused.
         """
+        if self._stopped:
+            return
         if self._is_paused():
             await self._start_refresh()
         if self._refreshed is not None:
             await curio.ignore_after(_REFRESH_TIMEOUT_S, self._refreshed.wait())
 
+    async def stop(self) -> None:
+        """Hold nothing back any more, since this process ends."""
+        self._stopped = True
+        if self._refreshed is not None:
+            await self._refreshed.set()
+
     def _is_paused(self) -> bool:
         if self._ran_at is None:
             return False
--- a/src/daisydyke/_requests/_service.py
+++ b/src/daisydyke/_requests/_service.py
@@ -93,7 +93,8 @@
         route = table.find(request.host, request.path)
         if route is None:
             return self._answer_without_dispatch(request, NotRouted(), table)
-        if not self.open_requests.may_start(route, request.received):
+        now = self._dependencies.clock.monotonic()
+        if not self.open_requests.may_start(route, now):
             refusal = Refused('leaving', _RETRY_AFTER_LEAVING_S)
             return self._answer_without_dispatch(request, refusal, table)
         schedule = self._schedule(request, route)
