Count the grace period from when the signal may have been sent

What operators saw: a process that did not run when SIGTERM was sent took its whole grace period from when it ran again, and so went on until it was killed, with all requests that it still had to answer (LOST). Cause: the grace period began when the signal was read.

--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -187,20 +187,30 @@
     answered with what is known of them.
     """
     grace_s = gateway.settings.grace_s
-    end_at = gateway.clock.monotonic() + grace_s - _EXIT_MARGIN_S
+    end_at = _signalled_at(gateway) + grace_s - _EXIT_MARGIN_S
     gateway.log.record('leaving')
     gateway.membership.leave()
     gateway.request_service.open_requests.end_at = end_at
     gateway.caller_server.stop_keep_alive()
-    await curio.sleep(grace_s * _LINGER_SHARE)
-    await _drain_until(gateway, end_at)
+    await curio.sleep(min(grace_s * _LINGER_SHARE, _left_s(gateway, end_at)))
+    await curio.ignore_after(
+        _left_s(gateway, end_at), gateway.caller_server.drain()
+    )
     await _end_requests(gateway)
 
 
-async def _drain_until(gateway: Gateway, end_at: float) -> None:
-    # The process may have got no processor for a part of the time.
-    left_s = max(0, end_at - gateway.clock.monotonic())
-    await curio.ignore_after(left_s, gateway.caller_server.drain())
+def _signalled_at(gateway: Gateway) -> float:
+    """Return the earliest time at which the signal may have been sent.
+
+    A process that was paused learns of it later.
+    """
+    now = gateway.clock.monotonic()
+    ran_at = gateway.pause_guard.ran_at
+    return now if ran_at is None else min(now, ran_at)
+
+
+def _left_s(gateway: Gateway, end_at: float) -> float:
+    return max(0, end_at - gateway.clock.monotonic())
 
 
 async def _end_requests(gateway: Gateway) -> None:
--- a/src/daisydyke/_mirror/_pause_guard.py
+++ b/src/daisydyke/_mirror/_pause_guard.py
@@ -43,6 +43,14 @@
         self._refreshed: curio.Event | None = None
         self._stopped = False
 
+    @property
+    def ran_at(self) -> float | None:
+        """Monotonic time at which this process last ran for certain.
+
+        None before ``run``; otherwise a tick old unless it was paused.
+        """
+        return self._ran_at
+
     async def run(self) -> None:
         """Detect pauses until cancelled."""
         self._ran_at = self._clock.monotonic()
--- a/tests/platform/test_leaving_paused.py
+++ b/tests/platform/test_leaving_paused.py
@@ -6,19 +6,27 @@
 
 from __future__ import annotations
 
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
 from unittest import mock
 
 import curio
 from testtools import TestCase
-from testtools.matchers import Contains
+from testtools.matchers import Contains, LessThan
 
 from daisydyke._mirror._mirror import KindMirror
-from tests.platform import test_leaving
+from tests.platform import test_exit, test_leaving
 
 # Long enough that the process takes it for a pause.
 PAUSE_S = 1.8
 PAUSED_AT_S = 0.9
 LONG_GRACE_S = 3.0
+EXIT_TIMEOUT_S = 10.0
 
 
 async def _refresh_never(mirror: KindMirror) -> None:
@@ -26,6 +34,27 @@
     await curio.sleep(1000)
 
 
+def _stop_in_pause(folder: Path, pause_s: float) -> float:
+    """Send SIGTERM to a paused process; return when it ended after that."""
+    path = folder / 'node.json'
+    path.write_text(json.dumps(test_exit.SETTINGS))
+    log_path = folder / 'log'
+    with log_path.open('wb') as log:
+        process = subprocess.Popen(
+            [sys.executable, '-m', 'daisydyke._cli._gateway_main', str(path)],
+            stdout=log,
+            stderr=log,
+        )
+    test_exit.wait_for_start(log_path)
+    process.send_signal(signal.SIGSTOP)
+    sent_at = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    time.sleep(pause_s)
+    process.send_signal(signal.SIGCONT)
+    process.wait(EXIT_TIMEOUT_S)
+    return time.monotonic() - sent_at
+
+
 class TestLeavingPaused(TestCase):
     """leave()"""
 
@@ -38,3 +67,9 @@
         ):
             stop = test_leaving._run({'before': (0, 0)}, held_at_s=PAUSED_AT_S)
         self.assertThat(stop.answers.get('before', b''), Contains(b' 504 '))
+
+    def test_signal_during_a_pause(self) -> None:
+        """The grace period starts with the signal, not when it is read."""
+        with tempfile.TemporaryDirectory() as folder:
+            took_s = _stop_in_pause(Path(folder), test_exit.GRACE_S / 2)
+        self.assertThat(took_s, LessThan(test_exit.GRACE_S))
