Wait for a cancelled answer without an error of its own

A connection that waits for its answer task to end by cancellation reported a crashed task, which read like the incident's tracebacks; nothing was lost.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -261,7 +261,7 @@
         if self._state.cancel_on_disconnect:
             await answer_task.cancel()
         else:
-            await answer_task.join()
+            await answer_task.wait()
 
     async def _parse_or_send_error(self) -> bool:
         """Parse the received data; return whether to go on reading."""
