Soak: judge a held request by what a late caller cannot distort

Change: the time by which the soak's tasks ran late is no holding time, and what the VMs themselves report as cut (closed, failed, stopped) breaks the rule: that needs no clock. Tests of the judge: tests/soak/test_checks.py.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -129,6 +129,7 @@
         await cluster.stop()
     not_run_ids = [caller.not_run_ids for caller in callers]
     cluster.check_runs(set().union(*not_run_ids))
+    cluster.check_cuts()
     sent, served = _totals(callers)
     injected = ', '.join(injector.injected)
     return f'{served} of {sent} served; {injected}'
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -174,7 +174,8 @@
 
         A request that a server ran, or that was held for a while, must be
         answered if neither the VM nor any server was disturbed since its
-        deadline before it was sent.
+        deadline before it was sent. What VMs report themselves is checked by
+        ``SoakCluster.check_cuts``.
         """
         vm = self._connected_vm()
         request_id = request.headers['daisydyke-request-id']
@@ -184,7 +185,8 @@
         undisturbed = self._cluster.undisturbed_since(
             vm, started - self._deadline_s(request)
         )
-        held_s = time.monotonic() - started
+        # The caller itself may notice the end of the connection late.
+        held_s = time.monotonic() - started - self._cluster.late_s
         if undisturbed and (executed or held_s > _LOSS_SLACK_S):
             self._cluster.report_lost(vm, request, held_s, error)
 
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -4,11 +4,12 @@
 
 import json
 import os
+import re
 import signal
 import subprocess  # noqa: S404
 import sys
 import time
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -31,6 +32,10 @@
 _STORE_PORT = 8102
 _INTERNAL_PORTS = (7380, 7395)
 _OCTET_VALUES = 250
+_LATENESS_TICK_S = 0.05
+_LATENESS_TICKS = 60
+# Causes of request_cut that are this process's own.
+_CUT_CAUSES = ('closed', 'failed', 'stopped')
 
 
 @dataclass
@@ -128,6 +133,8 @@
         proxies: proxy in front of each backend server, by server identifier.
         versions: for each configuration, the monotonic time at which it was
             stored and the service that ``/move/`` is routed to.
+        late_s: by how much the tasks of the soak itself ran late at most in
+            the last seconds.
         shards: services that the newest configuration names as shards.
         draining_since: monotonic time at which the state ``draining`` was
             stored, by server identifier.
@@ -149,6 +156,7 @@
     draining_since: dict[str, float] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
     servers_disturbed_at: float = 0
+    late_s: float = 0
     shards: tuple[str, ...] = ()
 
     def host(self, last_octet: int) -> str:
@@ -158,6 +166,7 @@
 
     async def start(self) -> None:
         """Start the stand-ins, proxies and VMs; does not wait for readiness."""
+        await curio.spawn(self.measure_lateness, daemon=True)
         store = Address(self.host(1), _STORE_PORT)
         await self.store.start(store)
         shards = [name for names in self.layout.shard_sets for name in names]
@@ -267,6 +276,24 @@
                 f'DRAIN {server.server_id}: {len(late)} requests'
             )
 
+    async def measure_lateness(self) -> None:
+        """Keep ``late_s`` current until cancelled."""
+        recent: deque[float] = deque(maxlen=_LATENESS_TICKS)
+        while True:
+            due = time.monotonic() + _LATENESS_TICK_S
+            await curio.sleep(_LATENESS_TICK_S)
+            recent.append(time.monotonic() - due)
+            self.late_s = max(recent)
+
+    def check_cuts(self) -> None:
+        """Check that no VM reports that it left a request unanswered."""
+        for vm in self.vms:
+            log = vm.log_path.read_text(errors='replace')
+            for cause in _CUT_CAUSES:
+                pattern = rf'"request_cut".*"outcome": "{cause}"'
+                for line in re.findall(pattern, log):
+                    self.report_violation(f'CUT {vm.name}: {line}')
+
     def check_runs(self, not_run_ids: set[str]) -> None:
         """Check that no POST request ran twice or ran despite a refusal.
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -8,11 +8,11 @@
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
 
-from daisydyke._adapters._http_client import HttpResponse
+from daisydyke._adapters._http_client import HttpRequest, HttpResponse
 from daisydyke._domain._model import Address
-from soak._callers import merge_errors
+from soak._callers import Caller, merge_errors
 from soak._layouts import SMALL
-from soak._world import DRAIN_LIMIT_S, SoakCluster
+from soak._world import DRAIN_LIMIT_S, SoakCluster, Vm
 from stand_ins.platform_server import (
     RECORD_BYTES,
     PlatformServerStandIn,
@@ -115,3 +115,47 @@
         self.record_run(now + DRAIN_LIMIT_S + 0.1)
         self.cluster.check_draining(SERVER)
         self.assertThat(self.cluster.violations, HasLength(1))
+
+    def test_cuts_that_a_vm_reports(self) -> None:
+        """A cut by the process is reported, a caller that left is not."""
+        path = Path(self.cluster.folder) / 'log'
+        self.cluster.vms.append(Vm('vm-1', 'h', path, path, None))
+        line = '{{"event": "request_cut", "vm": "vm-1", "outcome": "{}"}}\n'
+        path.write_text(line.format('caller_left'))
+        self.cluster.check_cuts()
+        self.assertThat(self.cluster.violations, HasLength(0))
+        path.write_text(line.format('stopped') + line.format('failed'))
+        self.cluster.check_cuts()
+        self.assertThat(self.cluster.violations, HasLength(2))
+
+    def test_request_without_an_answer(self) -> None:
+        """One that ran, or was held, is lost; one that crossed a close not."""
+        vm = Vm('vm-1', 'h', Path(), Path(), None)
+        self.cluster.vms.append(vm)
+        now = time.monotonic()
+        for held_s, run, lost_count in ((0.1, False, 0), (0.1, True, 1)):
+            self.check_lost(vm, now - held_s, run=run)
+            self.assertThat(self.cluster.violations, HasLength(lost_count))
+        self.cluster.late_s = 1.0
+        self.check_lost(vm, now - 1.1, run=False)
+        self.assertThat(self.cluster.violations, HasLength(1))
+        self.cluster.late_s = 0
+        self.check_lost(vm, now - 1.1, run=False)
+        self.assertThat(self.cluster.violations, HasLength(2))
+
+    def check_lost(self, vm: Vm, sent_at: float, *, run: bool) -> None:
+        """Check a request whose connection ends now.
+
+        Parameters:
+            sent_at: monotonic time at which it was sent.
+            run: whether a server ran it.
+        """
+        self.cluster.runs.clear()
+        if run:
+            self.record_run(sent_at)
+        caller = Caller(self.cluster, 1, 1)
+        caller._connected_host = vm.host
+        request = HttpRequest(
+            'GET', '/one/x', headers={'daisydyke-request-id': REQUEST_ID}
+        )
+        caller._check_lost_answer(request, sent_at, EOFError())
