Take no interim response for the reply to HEAD

What callers saw: 500 of our own in place of a server's answer to HEAD, when the server had sent an interim response (100, 103) before it. Cause: the reply to HEAD was complete with its header, whatever its status. A caller cannot be sent a final answer with a status below 200. Change: an interim response is dropped for HEAD as for all other methods. Evidence: tests/platform/test_servers.py, test_interim_response_to_head, got the interim response as the reply before. Why it works: a reply is now complete only with a final status.

--- a/src/daisydyke/platform/_servers.py
+++ b/src/daisydyke/platform/_servers.py
@@ -170,7 +170,8 @@
         The connection is not reused after a bodiless reply.
         """
         self._in_body = True
-        if self._bodiless:
+        status = self._parser.get_status_code()
+        if self._bodiless and status >= HTTPStatus.OK:
             self._in_body = False
             self._complete(closes=True)
 
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -175,6 +175,17 @@
         self.assertThat(reply.body, Equals(b''))
         self.assertThat(reply.keep_alive, Equals(0))
 
+    def test_interim_response_to_head(self) -> None:
+        """An interim response is not taken for the reply to HEAD (issue 30)."""
+        for interim in (b'100 Continue', b'103 Early Hints'):
+            stream = HttpReplyStream()
+            stream.expect(bodiless=True)
+            self.assertThat(
+                stream.feed(b'HTTP/1.1 %b\r\n\r\n' % interim), HasLength(0)
+            )
+            (reply,) = stream.feed(OK.partition(b'body')[0])
+            self.assertThat(reply.status, Equals(200))
+
     def test_interim_response(self) -> None:
         """An interim (1xx) response is dropped."""
         replies = HttpReplyStream().feed(b'HTTP/1.1 100 Continue\r\n\r\n' + OK)
