Count a reply with a status below 100 as garbled

With a length, the reply was dropped as an interim one, and the request waited until its deadline. Cause: the parser takes any three digits, and the end of the connection completed the reply without a look at its status. Change: such a status is a protocol violation, known with the header; the request is handled as after any garbled reply. Why it works: no reply that HTTP does not permit to be sent gets past the parser.

--- a/src/daisydyke/platform/_servers.py
+++ b/src/daisydyke/platform/_servers.py
@@ -169,8 +169,10 @@
 
         The connection is not reused after a bodiless reply.
         """
-        self._in_body = True
         status = self._parser.get_status_code()
+        if status < HTTPStatus.CONTINUE:
+            raise ProtocolViolationError(f'status {status} is not defined')
+        self._in_body = True
         if self._bodiless and status >= HTTPStatus.OK:
             self._in_body = False
             self._complete(closes=True)
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -186,6 +186,13 @@
             (reply,) = stream.feed(OK.partition(b'body')[0])
             self.assertThat(reply.status, Equals(200))
 
+    def test_undefined_status(self) -> None:
+        """A status below 100 is no valid reply (issue 30)."""
+        for head in (b'HTTP/1.1 050 X\r\n\r\n', OK.replace(b'200', b'000')):
+            stream = HttpReplyStream()
+            with ExpectedException(ProtocolViolationError):
+                stream.feed(head)
+
     def test_interim_response(self) -> None:
         """An interim (1xx) response is dropped."""
         replies = HttpReplyStream().feed(b'HTTP/1.1 100 Continue\r\n\r\n' + OK)
