Return the stamps of a merged answer byte for byte

What callers saw: a success whose Daisydyke-Part-Stamps held other bytes than the servers had signed, where a stamp had bytes beyond ASCII (MIXED). Cause: stamps are read as latin-1 and were sent as UTF-8. Change: they are sent as latin-1, like all other fields of servers. Why it works: latin-1 maps each byte to one character and back.

--- a/src/daisydyke/platform/_callers.py
+++ b/src/daisydyke/platform/_callers.py
@@ -223,7 +223,7 @@
 
 
 def _encode_merged(answer: Merged) -> HttpResponse:
-    stamps = ', '.join(answer.stamps).encode()
+    stamps = ', '.join(answer.stamps).encode('latin-1')
     return HttpResponse(
         HTTPStatus.OK,
         answer.records,
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -121,6 +121,13 @@
         )
         self.assertThat(fields[b'daisydyke-missing-parts'], Equals(b'3'))
 
+    def test_merged_stamps_unchanged(self) -> None:
+        """Bytes beyond ASCII in a stamp reach the caller as they are."""
+        response, _ = handle_request(Merged(('s\xe9',), 0, b''), request())
+        self.assertThat(
+            dict(response.fields)[b'daisydyke-part-stamps'], Equals(b's\xe9')
+        )
+
     def test_refused(self) -> None:
         """A refusal has status 503 and states when to retry."""
         response, _ = handle_request(Refused('full', 0.25), request())
