Refuse a configuration with a route that leads to no service

Cause: the choice of a service raises an error if there is none, if all weights of a split are 0, or if their sum is not finite. Change: a route must name a service, a split of several must have a weight above 0, and weights have an upper bound. Evidence: found by hypothesis, from the document to the answer; IndexError and ValueError in choose_service() before. tests/platform/test_documents.py, test_route_without_service, failed. Why it works: each route that is accepted has a service that can be chosen.

--- a/src/daisydyke/platform/_documents.py
+++ b/src/daisydyke/platform/_documents.py
@@ -5,7 +5,7 @@
 from typing import Annotated, Literal
 
 import msgspec
-from returns.result import Result
+from returns.result import Failure, Result, Success
 
 from .._backends._server import ServerRecord
 from .._ports import StoredObject
@@ -38,7 +38,7 @@
 
 class _SplitEntry(msgspec.Struct):
     service: NonEmptyText
-    weight: Annotated[float, msgspec.Meta(ge=0)]
+    weight: Annotated[float, msgspec.Meta(ge=0, le=_MAXIMUM_INT)]
 
 
 class _Route(msgspec.Struct):
@@ -101,11 +101,14 @@
 
     Returns:
         A failure that names the object and the JSON path if the document is
-        invalid or the object was deleted.
+        invalid, has a route whose requests no service could be chosen for, or
+        the object was deleted.
     """
     source = f'{stored.kind}/{stored.name}'
     decoded = decode(stored.text or b'', _Configuration, source)
-    return decoded.map(_to_table)
+    return decoded.bind(
+        lambda configuration: _check_routes(configuration, source)
+    ).map(_to_table)
 
 
 def decode_server(
@@ -123,6 +126,32 @@
     return decoded.map(lambda server: _to_record(server, stored.name))
 
 
+def _check_routes(
+    configuration: _Configuration, source: str
+) -> Result[_Configuration, InvalidDocumentError]:
+    for index, route in enumerate(configuration.routes):
+        path = f'$.routes[{index}]'
+        if not (route.gather or route.service or route.traffic_split):
+            return Failure(
+                InvalidDocumentError(source, path, 'names no service')
+            )
+        if _is_split_without_weight(route):
+            return Failure(
+                InvalidDocumentError(
+                    source,
+                    f'{path}.traffic_split',
+                    'a weight must be greater than 0',
+                )
+            )
+    return Success(configuration)
+
+
+def _is_split_without_weight(route: _Route) -> bool:
+    if route.gather or route.service or len(route.traffic_split) == 1:
+        return False
+    return not any(entry.weight for entry in route.traffic_split)
+
+
 def _to_record(server: _Server, server_id: str) -> ServerRecord:
     return ServerRecord(
         server_id,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, IsInstance
 
@@ -158,3 +158,32 @@
             make_stored_object(configuration, 'config', 'main')
         )
         self.assertThat(outcome.failure().path, Contains('timeout_ms'))
+
+    def test_route_without_service(self) -> None:
+        """A route that no service can be chosen for is refused (issue 30)."""
+        self.check_refused('$.routes[0]', gather=[])
+        self.check_refused(
+            '$.routes[0].traffic_split', gather=[], traffic_split=split_of(0, 0)
+        )
+        self.check_refused(
+            '$.routes[0].traffic_split[1].weight',
+            gather=[],
+            traffic_split=split_of(1, 1e308),
+        )
+
+    def check_refused(self, path: str, **changes: object) -> None:
+        """Check that a route with these changes is refused at a path."""
+        error = decode_routes([{**ROUTE_DOCUMENT, **changes}], []).failure()
+        self.assertThat(error.source, Equals('config/main'))
+        self.assertThat(error.path, Equals(path))
+
+
+def split_of(*weights: float) -> list[dict[str, object]]:
+    """Return a traffic split with these weights."""
+    return [{'service': 's', 'weight': weight} for weight in weights]
+
+
+def decode_routes(routes: list[object], services: list[object]) -> Result:
+    """Return the outcome of decoding a configuration."""
+    document = {'version': 7, 'routes': routes, 'services': services}
+    return decode_configuration(make_stored_object(document, 'config', 'main'))
