Refuse a shard share that is not between 0 and 1

What callers saw: 500 of our own on a route with a min_shard_share of 1e308 or -1e308 (no answer at all, LOST, before 'Answer a request whose handler fails'); with 1.5, 504 at once though the servers had been sent the request and were answering it. Cause: the number of parts needed is not finite, or larger than that of the shards. Change: the document is refused with path and rule; the last good one is in force. Evidence: found by hypothesis (OverflowError in _required_parts()); test_impossible_shard_share failed before. Why it works: no more parts can be required than there are shards.

--- a/src/daisydyke/platform/_documents.py
+++ b/src/daisydyke/platform/_documents.py
@@ -16,7 +16,7 @@
     WeightedService,
 )
 from .._requests._routes import RoutingTable
-from .._settings._documents import AddressText, decode, parse_address
+from .._settings._documents import AddressText, Share, decode, parse_address
 from ..exceptions import InvalidDocumentError
 
 CONFIGURATION_KIND = 'config'
@@ -56,7 +56,7 @@
     # Services that each hold one shard and contribute a part of the answer.
     gather: list[str] = msgspec.field(default_factory=list)
     top_k: Int = 0
-    min_shard_share: float = 0
+    min_shard_share: Share = 0
 
 
 class _Service(msgspec.Struct):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -171,6 +171,13 @@
             traffic_split=split_of(1, 1e308),
         )
 
+    def test_impossible_shard_share(self) -> None:
+        """A share of the shards is from 0 to 1 (issue 30)."""
+        for share in (1.5, 1e308, -1, -1e308):
+            self.check_refused(
+                '$.routes[0].min_shard_share', min_shard_share=share
+            )
+
     def check_refused(self, path: str, **changes: object) -> None:
         """Check that a route with these changes is refused at a path."""
         error = decode_routes([{**ROUTE_DOCUMENT, **changes}], []).failure()
