Refuse a cold rate that cannot be calculated with

Cause: its product with the allowed excess is infinite, and infinity is no number of senders. Change: the rate has an upper bound; the document is refused with path and rule. Evidence: found by hypothesis (OverflowError in ColdAdmission._senders()); test_rate_without_bound failed before. Why it works: the bound is that of whole numbers, whose products are finite.

--- a/src/daisydyke/platform/_documents.py
+++ b/src/daisydyke/platform/_documents.py
@@ -32,6 +32,8 @@
 Int = Annotated[int, msgspec.Meta(ge=-_MAXIMUM_INT, le=_MAXIMUM_INT)]
 PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=_MAXIMUM_INT)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+# Sums and products of a few of them are finite.
+Number = Annotated[float, msgspec.Meta(le=_MAXIMUM_INT)]
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 PathPrefix = Annotated[str, msgspec.Meta(pattern='^/(.*/)?$')]
 
@@ -65,7 +67,7 @@
     # Seconds for which a server is cold after its start.
     warmup_s: float = 0
     # Requests per second that a cold server accepts; 0 for no limit.
-    warmup_per_s: float = 0
+    warmup_per_s: Number = 0
 
 
 class _Limits(msgspec.Struct):
--- a/tests/load/backends.py
+++ b/tests/load/backends.py
@@ -13,7 +13,10 @@
 from daisydyke._backends._extra_load import ExtraLoadBudget, ExtraLoadLimits
 from daisydyke._backends._server import BackendServer, ServerRecord
 from daisydyke._domain._model import Address
-from daisydyke._requests._dispatch import DispatchDependencies
+from daisydyke._requests._dispatch import (
+    AdmissionCheck,
+    DispatchDependencies,
+)
 from daisydyke._requests._model import (
     CallerAnswer,
     CallerLimits,
@@ -200,6 +203,7 @@
     Attributes:
         extra_load_budgets: budget for hedges and retries by service.
         on_wait: called when a request waits until this VM is current.
+        admit: returns whether a server may be sent one more request.
     """
 
     def __init__(
@@ -222,6 +226,7 @@
         self._limits = limits
         self._vm_count = vm_count
         self.on_wait: Callable[[], None] = lambda: None
+        self.admit: AdmissionCheck = lambda server: True
         self.table = RoutingTable(
             1,
             routes,
@@ -231,7 +236,7 @@
         dispatch = DispatchDependencies(
             backends,
             lambda service: backends.servers.get(service, []),
-            lambda server: True,
+            lambda server: self.admit(server),
             self._extra_load,
             self._wait_until_current,
             lambda request: lambda server_id, remaining: b'',
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -178,6 +178,12 @@
                 '$.routes[0].min_shard_share', min_shard_share=share
             )
 
+    def test_rate_without_bound(self) -> None:
+        """A rate that cannot be calculated with is refused (issue 30)."""
+        service = {**SERVICE_DOCUMENT, 'warmup_per_s': 1e308}
+        error = decode_routes([], [service]).failure()
+        self.assertThat(error.path, Equals('$.services[0].warmup_per_s'))
+
     def check_refused(self, path: str, **changes: object) -> None:
         """Check that a route with these changes is refused at a path."""
         error = decode_routes([{**ROUTE_DOCUMENT, **changes}], []).failure()
