Take a deadline beyond all numbers for none

Cause: the conversion to seconds raises OverflowError, which was not caught. Change: such a deadline is none, as one that is no number; the route's timeout applies, which is shorter. Why it works: nothing else is done with the text.

--- a/src/daisydyke/platform/_callers.py
+++ b/src/daisydyke/platform/_callers.py
@@ -188,7 +188,7 @@
         return None
     try:
         return max(0, int(text)) / _MS_PER_S
-    except ValueError:
+    except (ValueError, OverflowError):
         return None
 
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -67,6 +67,12 @@
         self.assertThat(decoded.host, Equals('h.example'))
         self.assertThat(decoded.timeout, Equals(0.6))
 
+    def test_deadline_without_bound(self) -> None:
+        """A deadline that cannot be calculated with is none (issue 30)."""
+        endless = request((b'daisydyke-deadline-ms', b'9' * 400))
+        _, decoded = handle_request(NotRouted(), endless)
+        self.assertThat(decoded.timeout, Equals(None))
+
     def test_forwarded_fields(self) -> None:
         """Hop-by-hop fields and those that Connection lists are dropped."""
         _, decoded = handle_request(
