Send no body in the answer to a malformed HEAD request

What callers saw: 42 bytes behind the answer to HEAD, on a connection that then closes, when h11 refused the request, as one without Host: bytes that are no answer (MIXED). Cause: the method of a request that h11 refuses is not known, and the answer was that to any other method. Change: the first bytes are compared with HEAD before h11 takes them. Why it works: an answer with a length of 0 is complete for any method.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -131,6 +131,7 @@
             max_incomplete_event_size=limits.head_bytes,
         )
         self._head: h11.Request | None = None
+        self._asks_for_head = False
         self._next_request: HttpRequest | None = None
         self._body = bytearray()
         self._held_bytes = 0
@@ -271,6 +272,10 @@
         return False
 
     async def _parse(self) -> bool:
+        if self._head is None:
+            # h11 does not tell the method of a request that it rejects.
+            unparsed = self._http.trailing_data[0]
+            self._asks_for_head = unparsed.startswith(b'HEAD ')
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
@@ -310,6 +315,7 @@
         if head is None:
             return
         self._head = None
+        self._asks_for_head = False
         self._request_incomplete = False
         self._next_request = decode_request(
             head, bytes(self._body), self._round_trip_s, self._connecting_s
@@ -408,6 +414,8 @@
             return
         reason = HTTPStatus(status).phrase.lower().replace(' ', '_')
         body = f'{{"code":"{reason}","outcome":"not_run"}}'.encode()
+        if self._head is None and self._asks_for_head:
+            body = b''
         headers = {}
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
             headers['retry-after'] = str(_RETRY_AFTER_S)
--- a/tests/contract/test_http_server.py
+++ b/tests/contract/test_http_server.py
@@ -146,6 +146,17 @@
         self.assertThat(received, StartsWith(b'HTTP/1.1 400'))
         self.assertThat(targets, Equals([]))
 
+    def test_malformed_head_request(self) -> None:
+        """The answer to HEAD has no body, malformed as it may be."""
+
+        async def _scenario(server, handler, client):
+            await client.sendall(b'HEAD /x HTTP/1.1\r\n\r\n')
+            return await read_all(client)
+
+        received = run_scenario(_scenario)
+        self.assertThat(received, StartsWith(b'HTTP/1.1 400'))
+        self.assertThat(received, EndsWith(b'\r\n\r\n'))
+
     def test_body_too_large(self) -> None:
         """A body beyond the limit is rejected before it is complete."""
 
--- a/tests/fuzz/test_answers.py
+++ b/tests/fuzz/test_answers.py
@@ -36,7 +36,7 @@
 
 _STATUS_LINE = re.compile(rb'HTTP/1\.1 ([2-9][0-9]{2}) [^\r\n]*\r\n')
 _FIELD = re.compile(
-    rb"([-!#$%&'*+.^_`|~0-9a-z]+): ?([\t\x20-\x7e\x80-\xff]*)\r\n"
+    rb"([-!#$%&'*+.^_`|~0-9a-zA-Z]+): ?([\t\x20-\x7e\x80-\xff]*)\r\n"
 )
 _BODILESS_STATUSES = (204, 304)
 _STAMP = b'daisydyke-server-stamp'
@@ -72,7 +72,7 @@
         field = _FIELD.match(stream, position)
         if field is None:
             raise ValueError(stream[position:])
-        fields.append((field[1], field[2].strip(b' \t')))
+        fields.append((field[1].lower(), field[2].strip(b' \t')))
         position = field.end()
     answer = Answer(status, tuple(fields), stream[position + 2 :])
     _check_framing(answer, method)
