Refuse the entry of a server whose name cannot be sent to it

What callers saw: requests for such a server failed when they were encoded: by the code, as 500 on a kept connection and as a failed attempt on a new one (read, not run). Cause: the name of an entry goes into Daisydyke-Target-Instance unchecked, and any writer may leave entries. Change: a name must be visible ASCII characters; otherwise the failure names path and rule, as for other invalid entries, and the entry names no server. Evidence: test_any_name of tests/platform/test_documents.py failed before, with UnicodeEncodeError for a letter beyond latin-1, and with one field too many for a name with a line break. Why it works: each name that is accepted can be written in a field as it is.

--- a/src/daisydyke/platform/_documents.py
+++ b/src/daisydyke/platform/_documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -26,6 +27,8 @@
 EXCLUDED_DOMAIN_KIND = 'evacuations'
 
 _MS_PER_S = 1000
+# Requests to a server name it in a header field.
+_SERVER_ID = re.compile('[!-~]+')
 
 # Whole numbers that convert to floats without loss.
 _MAXIMUM_INT = 9_007_199_254_740_992
@@ -121,9 +124,16 @@
     Returns:
         A record whose identifier is the name of the stored object, or a
         failure that names the object and the JSON path if the document is
-        invalid or the object was deleted.
+        invalid, the name cannot be sent to the server, or the object was
+        deleted.
     """
     source = f'{stored.kind}/{stored.name}'
+    if _SERVER_ID.fullmatch(stored.name) is None:
+        return Failure(
+            InvalidDocumentError(
+                source, '$.meta.name', 'must be visible ASCII characters'
+            )
+        )
     decoded = decode(stored.text or b'', _Server, source)
     return decoded.map(lambda server: _to_record(server, stored.name))
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,14 +2,16 @@
 
 import json
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from returns.result import Failure, Result, Success
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, IsInstance
+from testtools.matchers import Contains, EndsWith, Equals, IsInstance
 
 from daisydyke._ports import StoredObject
 from daisydyke.platform._documents import decode_configuration, decode_server
+from daisydyke.platform._servers import encode_request
+from tests.platform.test_servers import request
 
 SERVER_DOCUMENT = {
     'service': 'desk',
@@ -42,6 +44,8 @@
     'warmup_s': 3.0,
     'warmup_per_s': 5.5,
 }
+# Of a request to a server, with the empty one.
+HEAD_LINES = 7
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
     lambda children: (
@@ -88,6 +92,21 @@
         )
         self.assertThat(outcome, IsInstance((Success, Failure)))
 
+    @given(st.text(max_size=5))
+    @example('i-\u0416')
+    @example('i-1\r\nX: y')
+    def test_any_name(self, name: str) -> None:
+        """A name is refused, or it reaches the server as it is (issue 30)."""
+        decoded = decode_server(make_stored_object(SERVER_DOCUMENT, name=name))
+        if isinstance(decoded, Failure):
+            self.assertThat(decoded.failure().path, Equals('$.meta.name'))
+            return
+        encode = encode_request(request())
+        head = encode(decoded.unwrap().server_id, 1)
+        line = f'\r\ndaisydyke-target-instance: {name}\r\n\r\n'
+        self.assertThat(head, EndsWith(line.encode('ascii')))
+        self.assertThat(head.count(b'\r\n'), Equals(HEAD_LINES))
+
     def test_missing_member(self) -> None:
         """The error names the stored object and the missing member."""
         incomplete = {
