--- a/src/daisydyke/platform/_callers.py
+++ b/src/daisydyke/platform/_callers.py
@@ -188,7 +188,7 @@
         return None
     try:
         return max(0, int(text)) / _MS_PER_S
-    except ValueError:
+    except (ValueError, OverflowError):
         return None
 
 
@@ -223,7 +223,7 @@
 
 
 def _encode_merged(answer: Merged) -> HttpResponse:
-    stamps = ', '.join(answer.stamps).encode()
+    stamps = ', '.join(answer.stamps).encode('latin-1')
     return HttpResponse(
         HTTPStatus.OK,
         answer.records,
--- a/src/daisydyke/platform/_documents.py
+++ b/src/daisydyke/platform/_documents.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from typing import Annotated, Literal
 
 import msgspec
-from returns.result import Result
+from returns.result import Failure, Result, Success
 
 from .._backends._server import ServerRecord
 from .._ports import StoredObject
@@ -16,7 +17,7 @@
     WeightedService,
 )
 from .._requests._routes import RoutingTable
-from .._settings._documents import AddressText, decode, parse_address
+from .._settings._documents import AddressText, Share, decode, parse_address
 from ..exceptions import InvalidDocumentError
 
 CONFIGURATION_KIND = 'config'
@@ -26,19 +27,23 @@
 EXCLUDED_DOMAIN_KIND = 'evacuations'
 
 _MS_PER_S = 1000
+# Requests to a server name it in a header field.
+_SERVER_ID = re.compile('[!-~]+')
 
 # Whole numbers that convert to floats without loss.
 _MAXIMUM_INT = 9_007_199_254_740_992
 Int = Annotated[int, msgspec.Meta(ge=-_MAXIMUM_INT, le=_MAXIMUM_INT)]
 PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=_MAXIMUM_INT)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+# Sums and products of a few of them are finite.
+Number = Annotated[float, msgspec.Meta(le=_MAXIMUM_INT)]
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 PathPrefix = Annotated[str, msgspec.Meta(pattern='^/(.*/)?$')]
 
 
 class _SplitEntry(msgspec.Struct):
     service: NonEmptyText
-    weight: Annotated[float, msgspec.Meta(ge=0)]
+    weight: Annotated[float, msgspec.Meta(ge=0, le=_MAXIMUM_INT)]
 
 
 class _Route(msgspec.Struct):
@@ -56,7 +61,7 @@
     # Services that each hold one shard and contribute a part of the answer.
     gather: list[str] = msgspec.field(default_factory=list)
     top_k: Int = 0
-    min_shard_share: float = 0
+    min_shard_share: Share = 0
 
 
 class _Service(msgspec.Struct):
@@ -65,7 +70,7 @@
     # Seconds for which a server is cold after its start.
     warmup_s: float = 0
     # Requests per second that a cold server accepts; 0 for no limit.
-    warmup_per_s: float = 0
+    warmup_per_s: Number = 0
 
 
 class _Limits(msgspec.Struct):
@@ -101,11 +106,14 @@
 
     Returns:
         A failure that names the object and the JSON path if the document is
-        invalid or the object was deleted.
+        invalid, has a route whose requests no service could be chosen for, or
+        the object was deleted.
     """
     source = f'{stored.kind}/{stored.name}'
     decoded = decode(stored.text or b'', _Configuration, source)
-    return decoded.map(_to_table)
+    return decoded.bind(
+        lambda configuration: _check_routes(configuration, source)
+    ).map(_to_table)
 
 
 def decode_server(
@@ -116,13 +124,46 @@
     Returns:
         A record whose identifier is the name of the stored object, or a
         failure that names the object and the JSON path if the document is
-        invalid or the object was deleted.
+        invalid, the name cannot be sent to the server, or the object was
+        deleted.
     """
     source = f'{stored.kind}/{stored.name}'
+    if _SERVER_ID.fullmatch(stored.name) is None:
+        return Failure(
+            InvalidDocumentError(
+                source, '$.meta.name', 'must be visible ASCII characters'
+            )
+        )
     decoded = decode(stored.text or b'', _Server, source)
     return decoded.map(lambda server: _to_record(server, stored.name))
 
 
+def _check_routes(
+    configuration: _Configuration, source: str
+) -> Result[_Configuration, InvalidDocumentError]:
+    for index, route in enumerate(configuration.routes):
+        path = f'$.routes[{index}]'
+        if not (route.gather or route.service or route.traffic_split):
+            return Failure(
+                InvalidDocumentError(source, path, 'names no service')
+            )
+        if _is_split_without_weight(route):
+            return Failure(
+                InvalidDocumentError(
+                    source,
+                    f'{path}.traffic_split',
+                    'a weight must be greater than 0',
+                )
+            )
+    return Success(configuration)
+
+
+def _is_split_without_weight(route: _Route) -> bool:
+    if route.gather or route.service or len(route.traffic_split) == 1:
+        return False
+    return not any(entry.weight for entry in route.traffic_split)
+
+
 def _to_record(server: _Server, server_id: str) -> ServerRecord:
     return ServerRecord(
         server_id,
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -67,6 +67,12 @@
         self.assertThat(decoded.host, Equals('h.example'))
         self.assertThat(decoded.timeout, Equals(0.6))
 
+    def test_deadline_without_bound(self) -> None:
+        """A deadline that cannot be calculated with is none (issue 30)."""
+        endless = request((b'daisydyke-deadline-ms', b'9' * 400))
+        _, decoded = handle_request(NotRouted(), endless)
+        self.assertThat(decoded.timeout, Equals(None))
+
     def test_forwarded_fields(self) -> None:
         """Hop-by-hop fields and those that Connection lists are dropped."""
         _, decoded = handle_request(
@@ -121,6 +127,13 @@
         )
         self.assertThat(fields[b'daisydyke-missing-parts'], Equals(b'3'))
 
+    def test_merged_stamps_unchanged(self) -> None:
+        """Bytes beyond ASCII in a stamp reach the caller as they are."""
+        response, _ = handle_request(Merged(('s\xe9',), 0, b''), request())
+        self.assertThat(
+            dict(response.fields)[b'daisydyke-part-stamps'], Equals(b's\xe9')
+        )
+
     def test_refused(self) -> None:
         """A refusal has status 503 and states when to retry."""
         response, _ = handle_request(Refused('full', 0.25), request())
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,14 +2,16 @@
 
 import json
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, IsInstance
+from testtools.matchers import Contains, EndsWith, Equals, IsInstance
 
 from daisydyke._ports import StoredObject
 from daisydyke.platform._documents import decode_configuration, decode_server
+from daisydyke.platform._servers import encode_request
+from tests.platform.test_servers import request
 
 SERVER_DOCUMENT = {
     'service': 'desk',
@@ -42,6 +44,8 @@
     'warmup_s': 3.0,
     'warmup_per_s': 5.5,
 }
+# Of a request to a server, with the empty one.
+HEAD_LINES = 7
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
     lambda children: (
@@ -88,6 +92,21 @@
         )
         self.assertThat(outcome, IsInstance((Success, Failure)))
 
+    @given(st.text(max_size=5))
+    @example('i-\u0416')
+    @example('i-1\r\nX: y')
+    def test_any_name(self, name: str) -> None:
+        """A name is refused, or it reaches the server as it is (issue 30)."""
+        decoded = decode_server(make_stored_object(SERVER_DOCUMENT, name=name))
+        if isinstance(decoded, Failure):
+            self.assertThat(decoded.failure().path, Equals('$.meta.name'))
+            return
+        encode = encode_request(request())
+        head = encode(decoded.unwrap().server_id, 1)
+        line = f'\r\ndaisydyke-target-instance: {name}\r\n\r\n'
+        self.assertThat(head, EndsWith(line.encode('ascii')))
+        self.assertThat(head.count(b'\r\n'), Equals(HEAD_LINES))
+
     def test_missing_member(self) -> None:
         """The error names the stored object and the missing member."""
         incomplete = {
@@ -158,3 +177,45 @@
             make_stored_object(configuration, 'config', 'main')
         )
         self.assertThat(outcome.failure().path, Contains('timeout_ms'))
+
+    def test_route_without_service(self) -> None:
+        """A route that no service can be chosen for is refused (issue 30)."""
+        self.check_refused('$.routes[0]', gather=[])
+        self.check_refused(
+            '$.routes[0].traffic_split', gather=[], traffic_split=split_of(0, 0)
+        )
+        self.check_refused(
+            '$.routes[0].traffic_split[1].weight',
+            gather=[],
+            traffic_split=split_of(1, 1e308),
+        )
+
+    def test_impossible_shard_share(self) -> None:
+        """A share of the shards is from 0 to 1 (issue 30)."""
+        for share in (1.5, 1e308, -1, -1e308):
+            self.check_refused(
+                '$.routes[0].min_shard_share', min_shard_share=share
+            )
+
+    def test_rate_without_bound(self) -> None:
+        """A rate that cannot be calculated with is refused (issue 30)."""
+        service = {**SERVICE_DOCUMENT, 'warmup_per_s': 1e308}
+        error = decode_routes([], [service]).failure()
+        self.assertThat(error.path, Equals('$.services[0].warmup_per_s'))
+
+    def check_refused(self, path: str, **changes: object) -> None:
+        """Check that a route with these changes is refused at a path."""
+        error = decode_routes([{**ROUTE_DOCUMENT, **changes}], []).failure()
+        self.assertThat(error.source, Equals('config/main'))
+        self.assertThat(error.path, Equals(path))
+
+
+def split_of(*weights: float) -> list[dict[str, object]]:
+    """Return a traffic split with these weights."""
+    return [{'service': 's', 'weight': weight} for weight in weights]
+
+
+def decode_routes(routes: list[object], services: list[object]) -> Result:
+    """Return the outcome of decoding a configuration."""
+    document = {'version': 7, 'routes': routes, 'services': services}
+    return decode_configuration(make_stored_object(document, 'config', 'main'))
