Exit at once after the last answers

What operators saw: a process that had answered everything was killed at the end of the grace period, after a planned stop with 200 open requests over 20 shards. Callers that read slowly had only half of the last 0.4 s. Cause: the event loop cancels and awaits each task before it returns, and there are as many as connections. The last answers were given 0.2 s to leave time. Change: the process exits after the stop without ending its tasks; the kernel closes the connections and goes on sending what they hold. Requests that are still unanswered are cut and logged before, as the event loop's end did. The answers get 0.3 s of the last 0.4 s. Signals need not be ignored any more, since the interpreter, which would restore their default action, does not shut down. Why this works: what remains after the last answer does not grow with the number of tasks. Evidence: tests/platform/test_last_answers.py, exit code -9 before, 0 now, on a machine with a load of 9 to 11; tests/platform/test_exit.py passes.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -195,10 +195,14 @@
         if overdue and self._answer_task is None:
             await self._stop_reading()
 
-    async def close(self) -> None:
-        """Close the connection; what it holds is free at once."""
+    async def close(self, cause: CutCause = CutCause.CLOSED) -> None:
+        """Close the connection; what it holds is free at once.
+
+        Parameters:
+            cause: why a request in progress gets no whole answer.
+        """
         self._hold(0)
-        await self._stop_reading()
+        await self._stop_reading(cause)
 
     async def _read(self) -> None:
         going_on = not self._stopped
@@ -397,9 +401,9 @@
             return True
         return await self._parse_or_send_error()
 
-    async def _stop_reading(self) -> None:
+    async def _stop_reading(self, cause: CutCause = CutCause.CLOSED) -> None:
         self._stopped = True
-        self._cut_cause = CutCause.CLOSED
+        self._cut_cause = cause
         if self._reader_task is not None:
             await self._reader_task.cancel(blocking=False)
 
--- a/src/daisydyke/_adapters/_http_server.py
+++ b/src/daisydyke/_adapters/_http_server.py
@@ -12,6 +12,7 @@
 from .._ports import Clock
 from ._client_connection import (
     ClientConnection,
+    CutCause,
     CutReport,
     Handler,
     HttpLimits,
@@ -133,6 +134,16 @@
                 await connection.close_if_idle()
             await curio.sleep(_DRAIN_POLL_INTERVAL_S)
 
+    async def cut(self) -> None:
+        """End and report the requests in progress, as the process ends.
+
+        The server must have ``cancel_on_disconnect``.
+        """
+        for connection in tuple(self._connections):
+            await connection.close(CutCause.STOPPED)
+        while self._state.requests_in_progress:
+            await curio.sleep(_DRAIN_POLL_INTERVAL_S)
+
     async def stop_listening(self) -> None:
         """Accept no more connections."""
         if self._accept_task is not None:
--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import gc
+import os
 import signal
 from functools import partial
 from pathlib import Path
+from typing import NoReturn
 
 import click
 import curio
@@ -31,7 +33,7 @@
 # Remaining part of the grace period, in which the process exits.
 _EXIT_MARGIN_S = 0.4
 # Part of it in which the last answers are sent.
-_LAST_ANSWERS_S = 0.2
+_LAST_ANSWERS_S = 0.3
 # Share of the grace period in which callers still reach a leaving VM.
 _LINGER_SHARE = 0.55
 _GC_ALLOCATION_THRESHOLD = 20000
@@ -62,7 +64,17 @@
         _log_settings_change(gateway, path)
     await leave(gateway)
     await gateway.close()
-    signals.ignore()
+    _exit()
+
+
+def _exit() -> NoReturn:
+    """Exit at once; the kernel closes the connections.
+
+    The event loop would first end its tasks one by one, which takes longer
+    than the grace period with thousands of them. The interpreter would
+    restore the default action of signals before the process has gone.
+    """
+    os._exit(0)
 
 
 def _keep_initial_objects() -> None:
@@ -213,3 +225,4 @@
         ended=ended,
         unfinished=gateway.caller_server.requests_in_progress,
     )
+    await gateway.caller_server.cut()
--- a/tests/platform/test_last_answers.py
+++ b/tests/platform/test_last_answers.py
@@ -20,9 +20,14 @@
 
 import curio
 from testtools import TestCase
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Contains, Equals, LessThan
 
-from daisydyke._adapters._http_client import HttpConnection, HttpRequest
+from daisydyke._adapters._http_client import (
+    HttpConnection,
+    HttpRequest,
+    HttpResponse,
+)
+from daisydyke._adapters._http_server import HttpServer
 from daisydyke._domain._model import Address
 from daisydyke.exceptions import ConnectionLostError
 from stand_ins.object_store import ObjectStoreStandIn
@@ -37,6 +42,8 @@
 POLL_INTERVAL_S = 0.005
 # Sent together, so that each finds its connections to servers in time.
 BATCH_REQUESTS = 10
+# More than the sockets between this process and the gateway hold.
+LONG_ANSWER_BYTES = 15_000_000
 BACKLOG_CONNECTIONS = 4096
 # Each world uses the ports from one of these on.
 _FIRST_PORTS = count(19000, 200)
@@ -96,8 +103,15 @@
         'top_k': 5,
         'min_shard_share': 0.75,
     }
+    plain = {
+        **route,
+        'name': 'one',
+        'path_prefix': '/one/',
+        'service': names[0],
+    }
+    plain['gather'] = []
     services = [{'name': name, 'max_connections': 1000} for name in names]
-    document = {'version': 1, 'routes': [route], 'services': services}
+    document = {'version': 1, 'routes': [route, plain], 'services': services}
     store.put('config', 'main', document)
     for number, name in enumerate(names):
         port = first_port + _SERVER_PORT_OFFSET + number
@@ -166,25 +180,74 @@
         listener.listen(BACKLOG_CONNECTIONS)
 
 
-async def _stop_with(path: Path, shards: int, requests: int) -> Stop:
-    first_port = next(_FIRST_PORTS)
+async def _start(
+    stack: ExitStack, path: Path, first_port: int, shards: int
+) -> subprocess.Popen[bytes]:
+    """Start a store and a gateway process, which the stack ends."""
     path.write_text(json.dumps(_settings(first_port)))
     store = ObjectStoreStandIn()
     _put_documents(store, first_port, shards)
     await store.start(Address(HOST, first_port))
+    log = stack.enter_context(_log_path(path).open('wb'))
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'daisydyke._cli._gateway_main', str(path)],
+        stdout=log,
+        stderr=log,
+    )
+    stack.callback(process.kill)
+    await _wait_until_ready(first_port + 2)
+    return process
+
+
+def _log_path(path: Path) -> Path:
+    return path.with_name('log')
+
+
+async def _stop_with(path: Path, shards: int, requests: int) -> Stop:
+    first_port = next(_FIRST_PORTS)
     with ExitStack() as stack:
         _listen_silently(stack, first_port, shards)
-        log = stack.enter_context(Path(path.parent, 'log').open('wb'))
-        process = subprocess.Popen(
-            [sys.executable, '-m', 'daisydyke._cli._gateway_main', str(path)],
-            stdout=log,
-            stderr=log,
-        )
-        stack.callback(process.kill)
-        await _wait_until_ready(first_port + 2)
+        process = await _start(stack, path, first_port, shards)
         return await _stop(process, first_port + 1, requests)
 
 
+async def _serve_long_answer(request: HttpRequest) -> HttpResponse:
+    request_id = request.headers['daisydyke-request-id']
+    return HttpResponse(
+        HTTPStatus.OK,
+        bytes(LONG_ANSWER_BYTES),
+        {
+            'daisydyke-request-id': request_id,
+            'daisydyke-server-stamp': 'stamp',
+        },
+    )
+
+
+async def _stop_unread(path: Path) -> None:
+    """Stop a process while a caller does not read its answer."""
+    first_port = next(_FIRST_PORTS)
+    server_port = first_port + _SERVER_PORT_OFFSET
+    await HttpServer(_serve_long_answer).start(
+        Address(SERVER_HOST, server_port)
+    )
+    with ExitStack() as stack:
+        process = await _start(stack, path, first_port, 1)
+        caller = await curio.open_connection(HOST, first_port + 1)
+        async with caller:
+            request = _REQUEST.replace('/all/', '/one/')
+            await caller.sendall(request.encode())
+            await _wait_until_open(1)
+            process.send_signal(signal.SIGTERM)
+            await _wait_for_exit(process)
+
+
+async def _wait_for_exit(process: subprocess.Popen[bytes]) -> None:
+    """Wait for the end of a process, at most for the grace period."""
+    deadline = time.monotonic() + GRACE_S
+    while process.poll() is None and time.monotonic() < deadline:
+        await curio.sleep(POLL_INTERVAL_S)
+
+
 async def _stop(
     process: subprocess.Popen[bytes], port: int, requests: int
 ) -> Stop:
@@ -198,8 +261,7 @@
     await _wait_until_open(requests)
     started = time.monotonic()
     process.send_signal(signal.SIGTERM)
-    while process.poll() is None and time.monotonic() < started + GRACE_S:
-        await curio.sleep(POLL_INTERVAL_S)
+    await _wait_for_exit(process)
     stop.exit_s = time.monotonic() - started
     process.kill()
     stop.exit_code = process.wait()
@@ -231,3 +293,20 @@
             set(stop.statuses), Equals({HTTPStatus.GATEWAY_TIMEOUT})
         )
         self.assertThat(stop.last_answer_s, LessThan(GRACE_S))
+
+    def test_process_ends_by_itself(self) -> None:
+        """The process exits before the platform's SIGKILL.
+
+        It ended the tasks of all connections to servers one by one.
+        """
+        stop = run()
+        self.assertThat(stop.exit_code, Equals(0))
+        self.assertThat(stop.exit_s, LessThan(GRACE_S))
+
+    def test_unfinished_answer_is_logged(self) -> None:
+        """A request that gets no whole answer has a line in the log."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, 'node.json')
+            curio.run(_stop_unread, path)
+            log = _log_path(path).read_text()
+        self.assertThat(log, Contains('"outcome": "stopped"'))
