Bound the time for reporting what a planned stop cuts

The report waits for the tasks that it ends; one that did not end would have kept the process until it is killed. tests/platform/test_last_answers.py as before.

--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -34,6 +34,8 @@
 _EXIT_MARGIN_S = 0.4
 # Part of it in which the last answers are sent.
 _LAST_ANSWERS_S = 0.3
+# Part of it for the log of what is still unanswered then.
+_CUT_S = 0.05
 # Share of the grace period in which callers still reach a leaving VM.
 _LINGER_SHARE = 0.55
 _GC_ALLOCATION_THRESHOLD = 20000
@@ -236,4 +238,4 @@
         ended=ended,
         unfinished=gateway.caller_server.requests_in_progress,
     )
-    await gateway.caller_server.cut()
+    await curio.ignore_after(_CUT_S, gateway.caller_server.cut())
