Let a planned stop of an entry daemon take its steps

What callers saw: at SIGTERM every query and commit that an entry daemon had read ended at once with a closed connection (LOST). It kept none of the steps of docs/OPERATIONS.md: it served no longer, drained nothing, handed no server over, and exited with 0 after 0.1 s, so that nobody noticed. Cause: the task of the stop was started as a daemon task. A curio TaskGroup does not wait for daemon tasks; it cancels them when it is left. Change: the group starts both tasks itself, as ordinary ones. Evidence: tests/platform/test_entry_stop.py, test_query_in_progress, got RemoteDisconnected, answers now; six queries on one slot in a trial: six closed connections and exit 0 after 0.1 s before, six answers and `left` after 2.7 s now.

--- a/src/daisydyke/_cli/_entry.py
+++ b/src/daisydyke/_cli/_entry.py
@@ -47,12 +47,11 @@
     signals = SignalStream(signal.SIGTERM, signal.SIGINT)
     tasks = await _start(entry)
     await signals.next()
-    shutdown = await curio.spawn(_shut_down(entry), daemon=True)
-    second_signal = await curio.spawn(
-        _wait_for_second_signal(entry, signals), daemon=True
-    )
-    async with curio.TaskGroup((shutdown, second_signal), wait=any):
-        entry.logger.info({'event': 'leaving'})
+    entry.logger.info({'event': 'leaving'})
+    # A group waits for no daemon tasks.
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(_shut_down, entry)
+        await group.spawn(_wait_for_second_signal, entry, signals)
     for task in tasks:
         await task.cancel()
 
