Let no signal interrupt the last steps of an entry daemon

What operators saw: an entry daemon that got SIGTERM again while it ended exited with -15, as if it had been killed. Change: they are ignored from the end of the stop on; the interpreter keeps that.

--- a/src/daisydyke/_cli/_entry.py
+++ b/src/daisydyke/_cli/_entry.py
@@ -54,6 +54,7 @@
         await group.spawn(_wait_for_second_signal, entry, signals)
     for task in tasks:
         await task.cancel()
+    signals.ignore()
 
 
 async def _start(entry: Entry) -> list[curio.Task]:
--- a/tests/platform/test_entry_stop.py
+++ b/tests/platform/test_entry_stop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
 from http import HTTPStatus
@@ -17,6 +18,8 @@
 SENDING_S = 0.3
 START_TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 0.05
+STOP_TIMEOUT_S = 15.0
+SIGNAL_INTERVAL_S = 0.001
 ENTRY = 'entry0'
 
 Answer = tuple[int, JsonObject]
@@ -89,3 +92,17 @@
         self.assertThat(body['coverage']['share'], Equals(1))
         self.assertThat(exit_code, Equals(0))
         self.assertThat(events[-1], Equals('left'))
+
+    def test_signals_during_the_last_steps(self) -> None:
+        """Signals that go on until the process is gone end it with 0.
+
+        The interpreter restores the default action of each signal before it
+        exits, so that the process ended as if it had been killed.
+        """
+        with make_cluster() as cluster:
+            process = cluster.processes[ENTRY]
+            deadline = time.monotonic() + STOP_TIMEOUT_S
+            while process.poll() is None and time.monotonic() < deadline:
+                process.send_signal(signal.SIGTERM)
+                time.sleep(SIGNAL_INTERVAL_S)
+            self.assertThat(process.poll(), Equals(0))
