End a planned stop while other VMs go on forwarding commits

What callers saw: an entry daemon that other VMs kept forwarding commits to did not end at SIGTERM; whoever kills it then takes the commits in progress (LOST). Cause: the stop waited for a moment without a commit, and took new ones meanwhile. Change: the executor drains: what runs, or is on record, is answered; new keys get `entry_leaving` with `not_run`, which is certain since no other process runs them.

--- a/src/daisydyke/_cli/_entry.py
+++ b/src/daisydyke/_cli/_entry.py
@@ -25,7 +25,6 @@
 _JOIN_TIMEOUT_S = 10.0
 _HAND_OVER_TIMEOUT_S = 10.0
 _BACKLOG_CONNECTIONS = 512
-_COMMIT_POLL_INTERVAL_S = 0.01
 
 
 @click.command()
@@ -133,8 +132,7 @@
     )
     # New owners announce their servers while links to this VM still work.
     await curio.sleep(_OWNER_ANNOUNCEMENT_WAIT_S)
-    while entry.commits.running_count:
-        await curio.sleep(_COMMIT_POLL_INTERVAL_S)
+    await entry.commits.drain()
     entry.logger.info({'event': 'left'})
 
 
--- a/src/daisydyke/_commits/_commit.py
+++ b/src/daisydyke/_commits/_commit.py
@@ -37,6 +37,7 @@
 from ..exceptions import (
     BadRequestError,
     CallerError,
+    EntryLeavingError,
     KeyReusedError,
     NoSnapshotError,
     OutcomeUnknownError,
@@ -61,6 +62,7 @@
 # identifiers count up from 1: a gate identifies sub-requests by these alone.
 _FIRST_SUB_ID = 1_000_000_000_000_000
 _MS_PER_S = 1000
+_DRAIN_POLL_INTERVAL_S = 0.01
 # The executor keeps no latency estimates.
 _ASSUMED_MEDIAN_LATENCY_S = 0.01
 
@@ -113,11 +115,7 @@
         self._records: dict[str, _Record] = {}
         self._sub_ids = count(_FIRST_SUB_ID)
         self._running_count = 0
-
-    @property
-    def running_count(self) -> int:
-        """Number of requests being executed."""
-        return self._running_count
+        self._draining = False
 
     def key_prefix(self) -> str:
         """Return a prefix of idempotency keys that name this process.
@@ -164,6 +162,15 @@
             return render_error_response(request_id, Outcome.NOT_RUN, overload)
         return await self._execute_new(body, key_text, request_id)
 
+    async def drain(self) -> None:
+        """Reject new requests from now on, and await those that run.
+
+        A request on record still gets its outcome.
+        """
+        self._draining = True
+        while self._running_count:
+            await curio.sleep(_DRAIN_POLL_INTERVAL_S)
+
     def _check_key(self, key: IdempotencyKey) -> CallerError | None:
         if key.executor != self._process:
             return OutcomeUnknownError('the process named by the key is gone')
@@ -173,6 +180,8 @@
         age_s = now_ms / 1000 - key.issued_ms / 1000
         if age_s >= RECORD_RETENTION_S:
             return OutcomeUnknownError('the key is older than the records kept')
+        if self._draining:
+            return EntryLeavingError('take a key from another entry VM')
         return None
 
     def _remove_expired_records(self) -> None:
--- a/tests/platform/test_entry_stop.py
+++ b/tests/platform/test_entry_stop.py
@@ -2,18 +2,36 @@
 
 from __future__ import annotations
 
+import json
 import signal
+import socket
+import struct
+import subprocess
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
 from http import HTTPStatus
+from threading import Event
+from typing import BinaryIO
 
+import msgspec
 from testtools import TestCase
-from testtools.matchers import Equals
+from testtools.matchers import Contains, Equals
 
 from bench.cluster import Cluster, ClusterConfig, JsonObject, call
+from daisydyke._adapters._frames import (
+    CommitForward,
+    CommitReply,
+    Hello,
+    Message,
+)
 
 SERVICE_TIME_MS = 900.0
 QUERY = {'service': 'rota-search', 'deadline_ms': 1900}
+COMMIT = b'{"service":"rota-search","key":1,"deadline_ms":1900}'
+# Shorter than a commit runs, so that there is always one in progress.
+COMMIT_INTERVAL_S = 0.3
+PEER_PORT = 8081
+LENGTH_PREFIX = struct.Struct('>I')
 # For a request to reach its server.
 SENDING_S = 0.3
 START_TIMEOUT_S = 5.0
@@ -75,6 +93,63 @@
     return exit_code, answers
 
 
+class Peer:
+    """Another entry VM that forwards commits to the daemon.
+
+    Attributes:
+        sent_count: number of commits that were forwarded.
+        replies: codes of the answered commits by number, None for a commit
+            that has run.
+    """
+
+    def __init__(self, cluster: Cluster) -> None:
+        """Connect to the daemon."""
+        target = '/v1/addresses'
+        body = call(cluster.entry_address(0), 'GET', target)[1]
+        self._key_prefix = body['idempotency_prefix']
+        self._socket = socket.create_connection(
+            (cluster.entry_host(0), PEER_PORT)
+        )
+        self._send([Hello('entry9', 1)])
+        self.sent_count = 0
+        self.replies: dict[int, str | None] = {}
+
+    def forward(self, interval_s: float, stopped: Event) -> None:
+        """Forward one commit after the other until the daemon has gone."""
+        while not stopped.wait(interval_s):
+            name = str(self.sent_count)
+            key = self._key_prefix + name
+            try:
+                self._send([CommitForward(self.sent_count, COMMIT, key, name)])
+            except OSError:
+                return
+            self.sent_count += 1
+
+    def receive(self) -> None:
+        """Receive replies until the daemon has gone."""
+        with self._socket.makefile('rb') as stream:
+            while prefix := _read(stream, LENGTH_PREFIX.size):
+                body = _read(stream, LENGTH_PREFIX.unpack(prefix)[0])
+                for message in msgspec.msgpack.decode(body, type=list[Message]):
+                    self._take(message)
+
+    def _take(self, message: Message) -> None:
+        if isinstance(message, CommitReply):
+            code = json.loads(message.body).get('code')
+            self.replies[message.call_id] = code
+
+    def _send(self, messages: list[Message]) -> None:
+        body = msgspec.msgpack.encode(messages)
+        self._socket.sendall(LENGTH_PREFIX.pack(len(body)) + body)
+
+
+def _read(stream: BinaryIO, size: int) -> bytes:
+    try:
+        return stream.read(size)
+    except OSError:
+        return b''
+
+
 class TestEntryStop(TestCase):
     """run_entry()"""
 
@@ -106,3 +181,31 @@
                 process.send_signal(signal.SIGTERM)
                 time.sleep(SIGNAL_INTERVAL_S)
             self.assertThat(process.poll(), Equals(0))
+
+    def test_commits_that_go_on(self) -> None:
+        """Commits that other VMs go on forwarding do not hold up a stop.
+
+        The process waited for a moment without a commit, and was killed at
+        the end of the grace period with those in progress (LOST).
+        """
+        with make_cluster() as cluster, ThreadPoolExecutor(2) as threads:
+            wait_for_answers(cluster)
+            peer = Peer(cluster)
+            stopped = Event()
+            threads.submit(peer.receive)
+            threads.submit(peer.forward, COMMIT_INTERVAL_S, stopped)
+            time.sleep(SERVICE_TIME_MS / 1000)
+            sent_before = peer.sent_count
+            process = cluster.processes[ENTRY]
+            process.terminate()
+            try:
+                exit_code = process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired as error:
+                self.fail(str(error))
+            finally:
+                stopped.set()
+                cluster.kill(ENTRY)
+        self.assertThat(exit_code, Equals(0))
+        before = {peer.replies.get(number, '') for number in range(sent_before)}
+        self.assertThat(before, Equals({None}))
+        self.assertThat(peer.replies.values(), Contains('entry_leaving'))
--- a/tests/unit/test_commit.py
+++ b/tests/unit/test_commit.py
@@ -83,6 +83,29 @@
 
         run_virtual(scenario)
 
+    def test_drain(self) -> None:
+        """While it drains, what runs is answered and what is new rejected."""
+
+        async def scenario(clock: VirtualClock) -> None:
+            fixture = make_fixture(clock)
+            executor = make_executor(fixture)
+            prefix = executor.key_prefix()
+            running = await curio.spawn(
+                executor.execute(_BODY, f'{prefix}old', 'r1')
+            )
+            await curio.sleep(0)
+            drain = await curio.spawn(executor.drain)
+            await curio.sleep(0)
+            rejected = await executor.execute(_BODY, f'{prefix}new', 'r2')
+            self.assertThat(outcome_of(rejected), Equals('not_run'))
+            await drain.join()
+            self.assertThat(running.terminated, Equals(True))
+            repeated = await executor.execute(_BODY, f'{prefix}old', 'r3')
+            self.assertThat(outcome_of(repeated), Equals('answered'))
+            self.assertThat(run_count(fixture), Equals(1))
+
+        run_virtual(scenario)
+
     def test_fault_table(self) -> None:
         """Each failure of a server gives its outcome after one attempt."""
         table = (
