End a planned stop beside a caller that reads no answer

What callers saw: with one caller that reads no answers, an entry daemon did not end at SIGTERM and handed no server over, until it was killed. Cause: the drain has no time-out, and an answer that is being sent has none. Change: the drain ends after 10.5 s, which no answer takes that is still owed: a query has 2 s, a forwarded commit 10 s.

--- a/src/daisydyke/_cli/_entry.py
+++ b/src/daisydyke/_cli/_entry.py
@@ -23,6 +23,8 @@
 _OWNER_ANNOUNCEMENT_WAIT_S = 1.0
 _JOIN_POLL_INTERVAL_S = 0.1
 _JOIN_TIMEOUT_S = 10.0
+# Longer than a commit waits for the VM that it was forwarded to.
+_DRAIN_TIMEOUT_S = 10.5
 _HAND_OVER_TIMEOUT_S = 10.0
 _BACKLOG_CONNECTIONS = 512
 
@@ -125,7 +127,8 @@
     entry.membership.leave()
     address_keep_s = entry.settings.address_keep_ms / 1000
     await curio.sleep(address_keep_s + _ADDRESS_EXPIRY_MARGIN_S)
-    await entry.server.drain()
+    # A caller that does not read its answer would hold up the stop.
+    await curio.ignore_after(_DRAIN_TIMEOUT_S, entry.server.drain())
     await curio.ignore_after(
         _HAND_OVER_TIMEOUT_S,
         entry.ownership.hand_over_all(),
--- a/tests/platform/test_entry_stop.py
+++ b/tests/platform/test_entry_stop.py
@@ -30,6 +30,11 @@
 COMMIT = b'{"service":"rota-search","key":1,"deadline_ms":1900}'
 # Shorter than a commit runs, so that there is always one in progress.
 COMMIT_INTERVAL_S = 0.3
+STATUS_REQUESTS = b'GET /v1/status HTTP/1.1\r\nHost: entry0\r\n\r\n' * 100
+BATCH_COUNT = 150
+BATCH_INTERVAL_S = 0.01
+RECEIVE_BUFFER_BYTES = 4096
+CALLER_PORT = 8080
 PEER_PORT = 8081
 LENGTH_PREFIX = struct.Struct('>I')
 # For a request to reach its server.
@@ -43,14 +48,14 @@
 Answer = tuple[int, JsonObject]
 
 
-def make_cluster(*, slots: int = 4) -> Cluster:
+def make_cluster() -> Cluster:
     """Return a cluster of one entry daemon and one slow server."""
     config = ClusterConfig(
         entry_vms=1,
         ranges=1,
         replicas=1,
         service_ms=SERVICE_TIME_MS,
-        slots=slots,
+        slots=4,
         cold_requests_per_s=100.0,
         entry_settings={'address_keep_ms': 100},
     )
@@ -93,6 +98,17 @@
     return exit_code, answers
 
 
+def send_and_read_nothing(cluster: Cluster) -> socket.socket:
+    """Send requests until their answers fill the buffers of both sockets."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    caller.connect((cluster.entry_host(0), CALLER_PORT))
+    for _ in range(BATCH_COUNT):
+        caller.sendall(STATUS_REQUESTS)
+        time.sleep(BATCH_INTERVAL_S)
+    return caller
+
+
 class Peer:
     """Another entry VM that forwards commits to the daemon.
 
@@ -196,12 +212,8 @@
             threads.submit(peer.forward, COMMIT_INTERVAL_S, stopped)
             time.sleep(SERVICE_TIME_MS / 1000)
             sent_before = peer.sent_count
-            process = cluster.processes[ENTRY]
-            process.terminate()
             try:
-                exit_code = process.wait(STOP_TIMEOUT_S)
-            except subprocess.TimeoutExpired as error:
-                self.fail(str(error))
+                exit_code = self._stop(cluster)
             finally:
                 stopped.set()
                 cluster.kill(ENTRY)
@@ -209,3 +221,26 @@
         before = {peer.replies.get(number, '') for number in range(sent_before)}
         self.assertThat(before, Equals({None}))
         self.assertThat(peer.replies.values(), Contains('entry_leaving'))
+
+    def test_answers_that_are_not_read(self) -> None:
+        """A caller that reads no answers does not hold up a stop.
+
+        The servers were not handed over before the process was killed.
+        """
+        with make_cluster() as cluster:
+            with send_and_read_nothing(cluster):
+                exit_code = self._stop(cluster)
+                events = [
+                    record['event'] for record in cluster.log_records(ENTRY)
+                ]
+        self.assertThat(exit_code, Equals(0))
+        self.assertThat(events[-1], Equals('left'))
+
+    def _stop(self, cluster: Cluster) -> int:
+        """Stop the daemon in the time it is given; return its exit code."""
+        process = cluster.processes[ENTRY]
+        process.terminate()
+        try:
+            return process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired as error:
+            self.fail(str(error))
