--- a/src/daisydyke/_cli/_entry.py
+++ b/src/daisydyke/_cli/_entry.py
@@ -23,9 +23,10 @@
 _OWNER_ANNOUNCEMENT_WAIT_S = 1.0
 _JOIN_POLL_INTERVAL_S = 0.1
 _JOIN_TIMEOUT_S = 10.0
+# Longer than a commit waits for the VM that it was forwarded to.
+_DRAIN_TIMEOUT_S = 10.5
 _HAND_OVER_TIMEOUT_S = 10.0
 _BACKLOG_CONNECTIONS = 512
-_COMMIT_POLL_INTERVAL_S = 0.01
 
 
 @click.command()
@@ -47,14 +48,14 @@
     signals = SignalStream(signal.SIGTERM, signal.SIGINT)
     tasks = await _start(entry)
     await signals.next()
-    shutdown = await curio.spawn(_shut_down(entry), daemon=True)
-    second_signal = await curio.spawn(
-        _wait_for_second_signal(entry, signals), daemon=True
-    )
-    async with curio.TaskGroup((shutdown, second_signal), wait=any):
-        entry.logger.info({'event': 'leaving'})
+    entry.logger.info({'event': 'leaving'})
+    # A group waits for no daemon tasks.
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(_shut_down, entry)
+        await group.spawn(_wait_for_second_signal, entry, signals)
     for task in tasks:
         await task.cancel()
+    signals.ignore()
 
 
 async def _start(entry: Entry) -> list[curio.Task]:
@@ -126,15 +127,15 @@
     entry.membership.leave()
     address_keep_s = entry.settings.address_keep_ms / 1000
     await curio.sleep(address_keep_s + _ADDRESS_EXPIRY_MARGIN_S)
-    await entry.server.drain()
+    # A caller that does not read its answer would hold up the stop.
+    await curio.ignore_after(_DRAIN_TIMEOUT_S, entry.server.drain())
     await curio.ignore_after(
         _HAND_OVER_TIMEOUT_S,
         entry.ownership.hand_over_all(),
     )
     # New owners announce their servers while links to this VM still work.
     await curio.sleep(_OWNER_ANNOUNCEMENT_WAIT_S)
-    while entry.commits.running_count:
-        await curio.sleep(_COMMIT_POLL_INTERVAL_S)
+    await entry.commits.drain()
     entry.logger.info({'event': 'left'})
 
 
