Start no sub-request while an entry daemon's event loop shuts down

What operators saw: an entry daemon that was ended by a second SIGTERM under load exited with 1, 'New tasks created during shutdown'. Cause: the workers of its gates outlived the stop. When the event loop cancelled their running sub-requests, they took the next queued ones, in tasks of their own that the loop no longer cancelled. Change: gates that are still open are aborted before the event loop shuts down: queued sub-requests are refused as not sent, and the workers end.

--- a/src/daisydyke/_cli/_entry.py
+++ b/src/daisydyke/_cli/_entry.py
@@ -55,6 +55,9 @@
         await group.spawn(_wait_for_second_signal, entry, signals)
     for task in tasks:
         await task.cancel()
+    # A worker that went on would start tasks while the event loop shuts down.
+    for gate in entry.ownership.gates.values():
+        await gate.abort()
     signals.ignore()
 
 
--- a/src/daisydyke/_limits/_gate.py
+++ b/src/daisydyke/_limits/_gate.py
@@ -143,6 +143,12 @@
         await self._refuse_queued()
         while self._running:
             await curio.sleep(_ALLOWANCE_POLL_INTERVAL_S / 10)
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Refuse queued sub-requests, and start none from now on."""
+        self._closing = True
+        await self._refuse_queued()
         for task in self._tasks:
             await task.cancel()
 
--- a/tests/platform/test_entry_stop.py
+++ b/tests/platform/test_entry_stop.py
@@ -35,6 +35,7 @@
 BATCH_INTERVAL_S = 0.01
 RECEIVE_BUFFER_BYTES = 4096
 CALLER_PORT = 8080
+BURST_INTERVAL_S = 0.0002
 PEER_PORT = 8081
 LENGTH_PREFIX = struct.Struct('>I')
 # For a request to reach its server.
@@ -222,6 +223,28 @@
         self.assertThat(before, Equals({None}))
         self.assertThat(peer.replies.values(), Contains('entry_leaving'))
 
+    def test_second_signal_beside_commits(self) -> None:
+        """A second signal ends the process with 0 whatever still arrives.
+
+        Gates went on starting tasks while the event loop was shut down: 'New
+        tasks created during shutdown'.
+        """
+        with make_cluster() as cluster, ThreadPoolExecutor(2) as threads:
+            wait_for_answers(cluster)
+            peer = Peer(cluster)
+            stopped = Event()
+            threads.submit(peer.receive)
+            threads.submit(peer.forward, BURST_INTERVAL_S, stopped)
+            time.sleep(SENDING_S)
+            cluster.send_signal(ENTRY, signal.SIGTERM)
+            time.sleep(SENDING_S)
+            try:
+                exit_code = self._stop(cluster)
+            finally:
+                stopped.set()
+                cluster.kill(ENTRY)
+        self.assertThat(exit_code, Equals(0))
+
     def test_answers_that_are_not_read(self) -> None:
         """A caller that reads no answers does not hold up a stop.
 
