Move what the connections of an HTTP server share into a module

Limits, state, the handler's type and the causes of a cut are read by the server, the platform's handlers and the composition root; the connection stays alone in its file. Moved only. tests/contract and tests/fuzz as before.

--- a/src/daisydyke/_adapters/_http_server.py
+++ b/src/daisydyke/_adapters/_http_server.py
@@ -10,8 +10,8 @@
 from .._domain._byte_budget import ByteBudget
 from .._domain._model import Address
 from .._ports import Clock
-from ._client_connection import (
-    ClientConnection,
+from ._client_connection import ClientConnection
+from ._server_state import (
     CutCause,
     CutReport,
     Handler,
--- /dev/null
+++ b/src/daisydyke/_adapters/_server_state.py
@@ -0,0 +1,80 @@
+"""State and types that the connections of an HTTP server share."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from .._domain._byte_budget import ByteBudget
+from .._ports import Clock
+from ._http_client import HttpRequest, HttpResponse
+
+# An OSError closes the connection without a response.
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+class CutCause(Enum):
+    """Why a request gets no whole answer.
+
+    ``CALLER_LEFT``: the client has closed or reset the connection;
+    ``CLOSED``: this process closes it, as at a limit or a time-out;
+    ``FAILED``: the handler failed; ``STOPPED``: the process ends.
+    """
+
+    CALLER_LEFT = 'caller_left'
+    CLOSED = 'closed'
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+
+
+# Called with each request that gets no whole answer, the cause, and the error
+# of a handler that failed.
+CutReport = Callable[[HttpRequest, CutCause, str], None]
+
+
+def _ignore_cut(request: HttpRequest, cause: CutCause, error: str) -> None:
+    """Report nothing."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Limits on requests and connections of clients.
+
+    Parameters:
+        head_bytes: largest size of a request head.
+        body_bytes: largest size of a request body.
+        head_timeout: longest time from the first byte of a request to its
+            last one, in seconds.
+        idle_timeout: longest time that a connection may wait for a request,
+            in seconds.
+    """
+
+    head_bytes: int = 16384
+    body_bytes: int = 65536
+    head_timeout: float = 5.0
+    idle_timeout: float = 60.0
+
+
+@dataclass(slots=True)
+class ServerState:
+    """State that all connections of a server share.
+
+    Parameters:
+        handler: answers one request.
+        cancel_on_disconnect: whether the handler of a request is cancelled if
+            the client closes the connection.
+        clock: clock for the time-outs.
+        request_bytes: bounds what all connections together receive.
+        closing: whether each connection is closed with its next response.
+        requests_in_progress: number of requests that are being answered.
+        report_cut: see CutReport.
+    """
+
+    handler: Handler
+    cancel_on_disconnect: bool
+    clock: Clock
+    request_bytes: ByteBudget
+    closing: bool = False
+    requests_in_progress: int = 0
+    report_cut: CutReport = _ignore_cut
--- a/src/daisydyke/_cli/_gateway_servers.py
+++ b/src/daisydyke/_cli/_gateway_servers.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from .._adapters._client_connection import CutReport, Handler, HttpLimits
+from .._adapters._server_state import CutReport, Handler, HttpLimits
 from .._adapters._http_server import HttpCapacity, HttpServer
 from .._requests._routes import RoutingTable
 from ..platform._settings import NodeSettings
--- a/src/daisydyke/platform/_callers.py
+++ b/src/daisydyke/platform/_callers.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from .._adapters._client_connection import CutCause
+from .._adapters._server_state import CutCause
 from .._adapters._http_client import HttpRequest, HttpResponse
 from .._domain._model import HeaderFields
 from .._ports import Clock
--- a/tests/contract/test_caller_sockets.py
+++ b/tests/contract/test_caller_sockets.py
@@ -8,12 +8,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals, StartsWith
 
-from daisydyke._adapters._client_connection import (
-    ClientConnection,
-    CutCause,
-    HttpLimits,
-    ServerState,
-)
+from daisydyke._adapters._client_connection import ClientConnection
+from daisydyke._adapters._server_state import CutCause, HttpLimits, ServerState
 from daisydyke._adapters._clock import RuntimeClock
 from daisydyke._adapters._http_client import HttpRequest, HttpResponse
 from daisydyke._domain._byte_budget import ByteBudget
--- a/tests/contract/test_http_server.py
+++ b/tests/contract/test_http_server.py
@@ -15,7 +15,7 @@
     StartsWith,
 )
 
-from daisydyke._adapters._client_connection import HttpLimits
+from daisydyke._adapters._server_state import HttpLimits
 from daisydyke._adapters._http_client import HttpRequest, HttpResponse
 from daisydyke._adapters._http_server import HttpCapacity, HttpServer
 from daisydyke._domain._model import Address
--- a/tests/fuzz/test_answers.py
+++ b/tests/fuzz/test_answers.py
@@ -14,11 +14,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from daisydyke._adapters._client_connection import (
-    ClientConnection,
-    HttpLimits,
-    ServerState,
-)
+from daisydyke._adapters._client_connection import ClientConnection
+from daisydyke._adapters._server_state import HttpLimits, ServerState
 from daisydyke._adapters._clock import RuntimeClock
 from daisydyke._domain._byte_budget import ByteBudget
 from daisydyke._requests._model import (
--- a/tests/fuzz/test_callers.py
+++ b/tests/fuzz/test_callers.py
@@ -10,11 +10,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals, MatchesRegex
 
-from daisydyke._adapters._client_connection import (
-    ClientConnection,
-    HttpLimits,
-    ServerState,
-)
+from daisydyke._adapters._client_connection import ClientConnection
+from daisydyke._adapters._server_state import HttpLimits, ServerState
 from daisydyke._adapters._clock import RuntimeClock
 from daisydyke._adapters._http_client import HttpRequest, HttpResponse
 from daisydyke._domain._byte_budget import ByteBudget
