--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 soak: $(VENV)/.installed
 	$(RUN) -m soak --first $(or $(SEED),1) --count $(or $(SEEDS),2)
+	$(RUN) -m soak --layout 13-vms --first $(or $(SEED),1)
 
 soak-regressions: $(VENV)/.installed
 	$(RUN) -m soak --regressions
