--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -107,6 +107,7 @@
         Address(settings.gossip.host, METRICS_PORT),
     )
     task_functions: tuple[TaskFunction, ...] = (
+        gateway.pause_guard.run,
         gateway.server_sink.run_removals,
         partial(gateway.pool.run, gateway.registry.all),
         gateway.membership.run_receiver,
@@ -137,7 +138,6 @@
     task_functions: tuple[TaskFunction, ...] = (
         gateway.mirror_relay.run,
         gateway.store_probe.run,
-        gateway.pause_guard.run,
         *(mirror.run for mirror in gateway.mirrors),
     )
     for task_function in task_functions:
@@ -220,8 +220,8 @@
     A process that was paused learns of it later.
     """
     now = gateway.clock.monotonic()
-    ran_at = gateway.pause_guard.ran_at
-    return now if ran_at is None else min(now, ran_at)
+    ran_before_at = gateway.pause_guard.ran_before_at
+    return now if ran_before_at is None else ran_before_at
 
 
 def _left_s(gateway: Gateway, end_at: float) -> float:
--- a/src/daisydyke/_mirror/_pause_guard.py
+++ b/src/daisydyke/_mirror/_pause_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Sequence
 
 import curio
@@ -42,14 +43,16 @@
         self._ran_at: float | None = None
         self._refreshed: curio.Event | None = None
         self._stopped = False
+        self._ticks: deque[float] = deque(maxlen=2)
 
     @property
-    def ran_at(self) -> float | None:
-        """Monotonic time at which this process last ran for certain.
+    def ran_before_at(self) -> float | None:
+        """Monotonic time at which this process ran before what it does now.
 
-        None before ``run``; otherwise a tick old unless it was paused.
+        That is up to two ticks ago, or before a pause that has just ended: the
+        latest tick may have come after it. None before ``run``.
         """
-        return self._ran_at
+        return self._ticks[0] if self._ticks else None
 
     async def run(self) -> None:
         """Detect pauses until cancelled."""
@@ -58,6 +61,7 @@
             if self._is_paused():
                 await self._start_refresh()
             self._ran_at = self._clock.monotonic()
+            self._ticks.append(self._ran_at)
             await curio.sleep(_TICK_S)
 
     async def wait_until_current(self) -> None:
