Let the test of the last answers fit into 4,096 descriptors

Cause: 200 requests over 20 shards take 4,220 descriptors of one process. So the test asked for more than a machine grants; the stop itself was not at fault.

Change: 190 requests over the same 20 shards, and the settings and the process state the limit of 4,096.

--- a/tests/platform/test_last_answers.py
+++ b/tests/platform/test_last_answers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import resource
 import signal
 import subprocess
 import sys
@@ -37,7 +38,10 @@
 SERVER_HOST = '127.0.97.2'
 GRACE_S = 2.0
 SHARDS = 20
-REQUESTS = 200
+REQUESTS = 190
+# What a process may open on the machines that run the tests; the connections
+# of all requests to all shards just fit.
+DESCRIPTORS = 4096
 READY_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.005
 # Sent together, so that each finds its connections to servers in time.
@@ -84,7 +88,7 @@
         'internal_ports': [first_port + 4, first_port + 5],
         'platform': {'address': f'{HOST}:{first_port}'},
         'bounds': {'grace_s': GRACE_S},
-        'limits': {'max_fds': 20000},
+        'limits': {'max_fds': DESCRIPTORS},
     }
 
 
@@ -281,6 +285,13 @@
 class TestLastAnswers(TestCase):
     """run_gateway()"""
 
+    def setUp(self) -> None:
+        """Let the processes open as many descriptors as they need."""
+        super().setUp()
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, limits[1]))
+        self.addCleanup(resource.setrlimit, resource.RLIMIT_NOFILE, limits)
+
     def test_every_caller_is_answered(self) -> None:
         """All callers get whole answers before the platform's SIGKILL (LOST).
 
