Soak: tell what a caller saw of a request without an answer

A lost request now says whether the VM had read it (the kernel resets a connection that is closed with bytes unread), whether a server ran it, and how many answers its connection had brought. One that was read counts as lost however short it was held, which is stricter than the rule. It is held from when its last byte was sent, as the rule says, no longer from before it connects.

New beside it: requests in two pieces with a pause, an idle time-out of 2.5 s in the large layouts, and reloads with settings that are cut off or no settings.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 import time
 from collections.abc import Iterator
@@ -20,6 +21,7 @@
 from daisydyke._domain._model import Address
 from daisydyke.exceptions import DaisydykeError
 from soak._layouts import SMALL
+from soak._paced import PacedConnection
 from soak._world import (
     CALLER_PORT,
     DIRECTORY_PORT,
@@ -35,6 +37,10 @@
 _CONFIG_LIMIT_S = 3.0
 # A request whose connection ends later than this after it was sent was read.
 _LOSS_SLACK_S = 0.2
+# Share of the idle time-out up to which callers reuse a connection.
+_USED_IDLE_SHARE = 0.8
+# Closed by the peer only, in Linux's tcp_info.
+_CLOSE_WAIT = 8
 # Must match ``top_k`` and ``min_shard_share`` in ``soak._world``.
 _TOP_K = 6
 _MIN_SHARE = 0.5
@@ -67,11 +73,14 @@
         self._cluster = cluster
         self._number = number
         self._random = random.Random(seed)  # noqa: S311
+        self._paces = random.Random(~seed)  # noqa: S311
         self._request_numbers = count(1)
         self._addresses: list[str] = []
         self._resolved_at: float = 0
-        self._connection: HttpConnection | None = None
+        self._connection: PacedConnection | None = None
         self._connected_host = ''
+        self._answers = 0
+        self._answered_at: float = 0
         self._stays = bool(number % 2)
         self.served = 0
         self.sent = 0
@@ -88,6 +97,7 @@
         await self._refresh_addresses()
         if not self._addresses:
             return
+        await self._leave_idle_connection()
         connection = self._connect()
         request = self._next_request()
         started = time.monotonic()
@@ -96,25 +106,38 @@
             async with curio.timeout_after(self._deadline_s(request)):
                 response = await connection.request(request)
         except (DaisydykeError, curio.TaskTimeout) as error:
+            read = was_read(connection)
             await self._close_connection()
-            if connection.sent:
-                self._check_lost_answer(request, started, error)
-            else:
+            if not connection.sent:
                 self._connected_host = ''
+            elif connection.sent_at < math.inf:
+                self._check_lost_answer(
+                    request, connection.sent_at, error, read=read
+                )
             return
+        self._answers += 1
+        self._answered_at = time.monotonic()
         self._check_response(request, response, started)
         if response.headers.get('connection') == 'close':
             await self._close_connection()
 
-    def _connect(self) -> HttpConnection:
+    async def _leave_idle_connection(self) -> None:
+        """Close a connection that the VM may soon close as idle."""
+        idle_s = time.monotonic() - self._answered_at
+        limit_s = self._cluster.layout.idle_timeout_ms / _MS_PER_S
+        if idle_s > limit_s * _USED_IDLE_SHARE:
+            await self._close_connection()
+
+    def _connect(self) -> PacedConnection:
         """Return the open connection, or a new one to a random address."""
         if self._connection is None:
             if not (self._stays and self._connected_host):
                 address = self._random.choice(self._addresses)
                 self._connected_host = address.partition(':')[0]
-            self._connection = HttpConnection(
-                Address(self._connected_host, CALLER_PORT)
+            self._connection = PacedConnection(
+                Address(self._connected_host, CALLER_PORT), self._paces
             )
+            self._answers = 0
         return self._connection
 
     def _next_request(self) -> HttpRequest:
@@ -167,15 +190,21 @@
     def _check_lost_answer(
         self,
         request: HttpRequest,
-        started: float,
+        sent_at: float,
         error: Exception,
+        *,
+        read: bool,
     ) -> None:
         """Check that the request was not read, or that a fault explains it.
 
-        A request that a server ran, or that was held for a while, must be
-        answered if neither the VM nor any server was disturbed since its
-        deadline before it was sent. What VMs report themselves is checked by
-        ``SoakCluster.check_cuts``.
+        A request that the VM read or a server ran, or that was held for a
+        while, must be answered if neither the VM nor any server was disturbed
+        since its deadline before it was sent. What VMs report themselves is
+        checked by ``SoakCluster.check_cuts``.
+
+        Parameters:
+            sent_at: monotonic time at which its last byte was sent.
+            read: see ``was_read``.
         """
         vm = self._connected_vm()
         request_id = request.headers['daisydyke-request-id']
@@ -183,11 +212,17 @@
             run.request_id == request_id for run in self._cluster.runs
         )
         undisturbed = self._cluster.undisturbed_since(
-            vm, started - self._deadline_s(request)
+            vm, sent_at - self._deadline_s(request)
         )
-        held_s = time.monotonic() - started
-        if undisturbed and (executed or held_s > _LOSS_SLACK_S):
-            self._cluster.report_lost(vm, request, held_s, error)
+        held_s = time.monotonic() - sent_at
+        if undisturbed and (executed or read or held_s > _LOSS_SLACK_S):
+            self._cluster.report_lost(
+                vm,
+                request,
+                held_s,
+                f'{error}; executed {executed}, read {read}, '
+                f'after {self._answers} answers on the connection',
+            )
 
     def _check_response(
         self,
@@ -249,6 +284,20 @@
         return timeout_ms / _MS_PER_S + _PATIENCE_S
 
 
+def was_read(connection: HttpConnection) -> bool:
+    """Return whether the peer had read all that was sent when it closed.
+
+    The kernel resets a connection that is closed with bytes unread, or that
+    receives more afterwards.
+    """
+    stream = connection._socket  # noqa: SLF001
+    if stream is None:
+        return False
+    sockets = curio.socket
+    state = stream.getsockopt(sockets.IPPROTO_TCP, sockets.TCP_INFO, 1)
+    return state[0] == _CLOSE_WAIT
+
+
 def merge_errors(
     request_id: str,
     response: HttpResponse,
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -218,9 +218,12 @@
             await curio.sleep(_SERIES_GAP_S)
 
     async def _reload_all(self) -> None:
-        """Tell all VMs of new settings, one shortly after the other."""
-        for vm in self._cluster.vms:
+        """Tell all VMs of new settings, some of which cannot be read."""
+        first = len(self.injected)
+        for number, vm in enumerate(self._cluster.vms, start=first):
             if not vm.stopping and not vm.is_starting():
+                texts = _settings_texts(vm.settings_text)
+                vm.settings_path.write_text(texts[number % len(texts)])
                 vm.send_signal(signal.SIGHUP)
             await curio.sleep(_POLL_S)
 
@@ -268,6 +271,11 @@
         return self._random.uniform(_MIN_DURATION_S, _MAX_DURATION_S)
 
 
+def _settings_texts(text: str) -> tuple[str, ...]:
+    """Return settings as they are, as they are being written, and faulty."""
+    return text, text[: len(text) // 2], '', f'[{text}]', f'{text}\n'
+
+
 _PLANNED: tuple[Fault, ...] = (
     FaultInjector._terminate,
     FaultInjector._hang_up,
--- a/soak/_layouts.py
+++ b/soak/_layouts.py
@@ -29,6 +29,7 @@
             for seconds.
         planned_only: whether nothing happens but stops, restarts, reloads and
             changes of the configuration.
+        idle_timeout_ms: time after which VMs close idle connections.
         min_served_share: share of the requests that must be served at the
             end.
         rolled_count: VMs that are restarted one after the other.
@@ -49,6 +50,7 @@
     # timeout are not served in a large layout.
     min_served_share: float = 0.25
     rolled_count: int = 3
+    idle_timeout_ms: int = 60000
 
     def draw_service_time_s(self, mean_s: float) -> float:
         """Draw for how long a request runs at a service without shards."""
@@ -89,6 +91,7 @@
             mean_gap_s=0.8,
             long_share=0.2,
             planned_only=True,
+            idle_timeout_ms=2500,
         ),
         '18-vms': Layout(
             domains=('north', 'south', 'west'),
@@ -102,6 +105,7 @@
             mean_gap_s=1.0,
             long_share=0.2,
             planned_only=True,
+            idle_timeout_ms=2500,
         ),
     }
 )
--- /dev/null
+++ b/soak/_paced.py
@@ -0,0 +1,64 @@
+"""Connection whose requests arrive in pieces at times."""
+
+from __future__ import annotations
+
+import math
+import random
+import time
+
+import curio
+
+from daisydyke._adapters._http_client import HttpConnection, StreamSocket
+from daisydyke._domain._model import Address
+
+_PIECES_SHARE = 0.1
+_PAUSE_RANGE_S = (0.02, 0.5)
+
+
+class PacedConnection(HttpConnection):
+    """Sends some requests in two pieces with a pause between them.
+
+    Attributes:
+        sent_at: monotonic time at which the last byte of the latest request
+            was sent; infinity before.
+    """
+
+    def __init__(self, address: Address, draws: random.Random) -> None:
+        """Initialize with the draws of pieces and pauses."""
+        super().__init__(address)
+        self._draws = draws
+        self.sent_at = math.inf
+
+    async def connect(self) -> None:
+        """Open a new socket, closing the current one if there is one."""
+        await super().connect()
+        if self._socket is not None:
+            self._socket = _PacedSocket(self._socket, self)
+
+    async def send_pieces(self, stream: StreamSocket, payload: bytes) -> None:
+        """Send a request, at times with a pause within it."""
+        self.sent_at = math.inf
+        if self._draws.random() < _PIECES_SHARE:
+            size = self._draws.randrange(1, len(payload))
+            await stream.sendall(payload[:size])
+            await curio.sleep(self._draws.uniform(*_PAUSE_RANGE_S))
+            payload = payload[size:]
+        await stream.sendall(payload)
+        self.sent_at = time.monotonic()
+
+
+class _PacedSocket:
+    """Socket that sends through its connection."""
+
+    def __init__(
+        self, stream: StreamSocket, connection: PacedConnection
+    ) -> None:
+        self._stream = stream
+        self._connection = connection
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._stream, name)
+
+    async def sendall(self, payload: bytes) -> None:
+        """Send all bytes of a request."""
+        await self._connection.send_pieces(self._stream, payload)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -43,6 +43,7 @@
     """An entry VM with its process and its proxy to the object store.
 
     Parameters:
+        settings_text: content of the settings file.
         source: see SoakCluster.
         disturbed_at: monotonic time of the start or end of the latest fault;
             time bounds hold again ``SETTLING_TIME_S`` later.
@@ -59,6 +60,7 @@
     settings_path: Path
     log_path: Path
     store_proxy: FaultProxy
+    settings_text: str = ''
     source: Path | None = None
     process: subprocess.Popen[bytes] | None = None
     disturbed_at: float = 0
@@ -68,7 +70,8 @@
     log_lines_at_start: int = 0
 
     def start(self) -> None:
-        """Start the process."""
+        """Start the process with its proper settings."""
+        self.settings_path.write_text(self.settings_text)
         self.log_lines_at_start = 0
         if self.log_path.exists():
             self.log_lines_at_start = len(
@@ -198,7 +201,12 @@
             {'name': name, 'max_connections': 60}
             for name in dict.fromkeys(server.service for server in self.servers)
         ]
-        document = {'version': version, 'routes': routes, 'services': services}
+        document = {
+            'version': version,
+            'routes': routes,
+            'services': services,
+            'limits': {'idle_timeout_ms': self.layout.idle_timeout_ms},
+        }
         self.store.put('config', 'main', document)
         self.versions.append((time.monotonic(), moved_to))
 
@@ -238,19 +246,20 @@
         self.violations.append(rule)
 
     def report_lost(
-        self, vm: Vm, request: HttpRequest, held_s: float, error: Exception
+        self, vm: Vm, request: HttpRequest, held_s: float, evidence: str
     ) -> None:
         """Record a request without an answer, with what tells its cause.
 
         Parameters:
             held_s: seconds for which it was open.
+            evidence: what the caller saw.
         """
         now = time.monotonic()
         stop = f'{now - vm.stop_at:.2f} s after its stop' if vm.stop_at else ''
         request_id = request.headers['daisydyke-request-id']
         self.report_violation(
             f'LOST at {vm.name}: {request_id} {request.target}, '
-            f'{held_s:.2f} s after it was sent, {stop} ({error}); '
+            f'{held_s:.2f} s after it was sent, {stop} ({evidence}); '
             f'the soak ran up to {self.late_s:.2f} s late',
         )
 
@@ -376,9 +385,9 @@
         name = f'vm-{number}'
         path = self.folder / f'{name}.json'
         settings = _settings(self.layout, name, host, number, proxy)
-        path.write_text(json.dumps(settings))
         log_path = self.folder / f'{name}.log'
-        vm = Vm(name, host, path, log_path, proxy, self.source)
+        text = json.dumps(settings)
+        vm = Vm(name, host, path, log_path, proxy, text, self.source)
         vm.mark_disturbed()
         vm.start()
         self.vms.append(vm)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,12 +5,18 @@
 import time
 from pathlib import Path
 
+import curio
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
 
-from daisydyke._adapters._http_client import HttpRequest, HttpResponse
+from daisydyke._adapters._http_client import (
+    HttpConnection,
+    HttpRequest,
+    HttpResponse,
+)
 from daisydyke._domain._model import Address
-from soak._callers import Caller, merge_errors
+from daisydyke.exceptions import DaisydykeError
+from soak._callers import Caller, merge_errors, was_read
 from soak._layouts import SMALL
 from soak._world import DRAIN_LIMIT_S, SoakCluster, Vm
 from stand_ins.platform_server import (
@@ -129,7 +135,7 @@
         self.assertThat(self.cluster.violations, HasLength(2))
 
     def test_request_without_an_answer(self) -> None:
-        """One that ran, or was held, is lost; one that crossed a close not."""
+        """One that ran, was read or held is lost; one that crossed is not."""
         vm = Vm('vm-1', 'h', Path(), Path(), None)
         self.cluster.vms.append(vm)
         now = time.monotonic()
@@ -139,13 +145,18 @@
         self.cluster.late_s = 1.0
         self.check_lost(vm, now - 1.1, run=False)
         self.assertThat(self.cluster.violations, HasLength(2))
+        self.check_lost(vm, now - 0.1, run=False, read=True)
+        self.assertThat(self.cluster.violations, HasLength(3))
 
-    def check_lost(self, vm: Vm, sent_at: float, *, run: bool) -> None:
+    def check_lost(
+        self, vm: Vm, sent_at: float, *, run: bool, read: bool = False
+    ) -> None:
         """Check a request whose connection ends now.
 
         Parameters:
             sent_at: monotonic time at which it was sent.
             run: whether a server ran it.
+            read: whether the VM had read it.
         """
         self.cluster.runs.clear()
         if run:
@@ -155,4 +166,41 @@
         request = HttpRequest(
             'GET', '/one/x', headers={'daisydyke-request-id': REQUEST_ID}
         )
-        caller._check_lost_answer(request, sent_at, EOFError())
+        caller._check_lost_answer(request, sent_at, EOFError(), read=read)
+
+
+class TestWasRead(TestCase):
+    """was_read()"""
+
+    def ends(self, *, read: bool) -> bool:
+        """Return what is told of a server that closes unanswered.
+
+        Parameters:
+            read: whether the server reads the request first.
+        """
+
+        async def _serve(stream, address) -> None:
+            if read:
+                await stream.recv(65536)
+            await stream.close()
+
+        async def _request() -> bool:
+            address = Address('127.0.95.1', 9000)
+            await curio.spawn(
+                curio.tcp_server(address.host, address.port, _serve),
+                daemon=True,
+            )
+            await curio.sleep(0.05)
+            connection = HttpConnection(address)
+            try:
+                await connection.request(HttpRequest('GET', '/x'))
+            except DaisydykeError:
+                return was_read(connection)
+            return False
+
+        return curio.run(_request)
+
+    def test_ends(self) -> None:
+        """A request that was read is told from one that was not."""
+        self.assertThat(self.ends(read=True), Equals(True))
+        self.assertThat(self.ends(read=False), Equals(False))
