Accept the connections that wait when a drain closes the listener

Seen: callers that had just connected to a VM being stopped got a reset instead of an answer, with a request that had waited for as long as the VM was late.

Cause: the accepting task may have had no turn since the kernel accepted a connection, and closing the listener resets what is in its queue. With the timers of the drain and of a late caller in one turn of the event loop, the test fails before (ConnectionResetError) and passes now.

Change: the drain accepts what waits itself before it closes the listener.

--- a/src/daisydyke/_adapters/_http_server.py
+++ b/src/daisydyke/_adapters/_http_server.py
@@ -19,7 +19,7 @@
     ServerState,
 )
 from ._clock import RuntimeClock
-from ._sockets import disable_delay
+from ._sockets import disable_delay, has_unread
 
 _BACKLOG_CONNECTIONS = 512
 _DRAIN_POLL_INTERVAL_S = 0.01
@@ -154,8 +154,24 @@
 
     async def _accept_last(self) -> None:
         """Accept the connections that the kernel has accepted already."""
-        if self._listener is not None:
-            await curio.sleep(_LAST_ACCEPT_S)
+        if self._listener is None or self._accept_task is None:
+            return
+        await curio.sleep(_LAST_ACCEPT_S)
+        # It may not have had a turn since, and closing the listener resets
+        # the connections that wait.
+        await self._accept_task.cancel()
+        await self._accept_waiting(self._listener)
+
+    async def _accept_waiting(self, listener: curio.io.Socket) -> None:
+        for _ in range(_BACKLOG_CONNECTIONS):
+            if not has_unread(listener.fileno()):
+                return
+            try:
+                client, _ = await listener.accept()
+            except OSError:
+                # No file descriptor is free.
+                return
+            await self._serve(client)
 
     async def _accept(self, listener: curio.io.Socket) -> None:
         while True:
--- a/tests/contract/test_http_server.py
+++ b/tests/contract/test_http_server.py
@@ -1,5 +1,7 @@
 """Contract tests of the HTTP server with raw requests over loopback."""
 
+import socket
+import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 from itertools import count
@@ -21,6 +23,8 @@
 from daisydyke._domain._model import Address
 
 _PORTS = count(19800)
+# How long a drain waits before it closes the listener.
+LAST_ACCEPT_S = 0.02
 HANDLER_DELAY_S = 0.2
 REQUEST = b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n'
 LAST_REQUEST = b'GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
@@ -209,6 +213,21 @@
         for received in run_scenario(_scenario):
             self.assertThat(received, StartsWith(b'HTTP/1.1 200'))
 
+    def test_connection_that_waits_to_be_accepted_at_drain(self) -> None:
+        """A caller that connects while the process is late is answered (LOST).
+
+        Its connection was reset, with a request that had waited for as long
+        as the process was late.
+        """
+
+        async def _scenario(server, handler, client):
+            late_client = await curio.spawn(_connect_late, client)
+            await curio.spawn(_hold_up_loop)
+            await server.drain()
+            return await read_all(await late_client.join())
+
+        self.assertThat(run_scenario(_scenario), StartsWith(b'HTTP/1.1 200'))
+
     def test_request_that_is_incomplete_at_drain(self) -> None:
         """A request whose first bytes came before the drain is answered."""
 
@@ -290,6 +309,20 @@
     return await curio.open_connection(*client.getpeername())
 
 
+async def _connect_late(client: curio.io.Socket) -> curio.io.Socket:
+    """Connect and send just before the drain closes the listener."""
+    await curio.sleep(LAST_ACCEPT_S * 0.9)
+    late_client = socket.create_connection(client.getpeername())
+    late_client.sendall(REQUEST)
+    return curio.io.Socket(late_client)
+
+
+async def _hold_up_loop() -> None:
+    """Let the timers of the drain and of the late caller expire together."""
+    await curio.sleep(LAST_ACCEPT_S / 2)
+    time.sleep(LAST_ACCEPT_S)
+
+
 CAPACITY = HttpCapacity(connections=40, request_bytes=200_000)
 UPLOAD_HEAD = b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n'
 SLOW_CLIENTS = 120
