Close no idle connection under a request that waits to be read

Seen in a test only: a request that had arrived when the idle time-out was checked got no answer.

Cause: the time-out looked at the time alone. A process that is late checks it before the reading task has had its turn; that one then drops what it reads. The test fails before (ConnectionResetError) and passes now.

Change: the time-out closes an idle connection by the same question as the drain, whether anything waits to be read. Half a request goes on to be cut by its own time-out.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -121,9 +121,15 @@
             if self._request_incomplete
             else limits.idle_timeout
         )
-        overdue = now - self.wait_started_at > timeout
-        if overdue and self._answer_task is None:
+        if (
+            self._answer_task is not None
+            or now - self.wait_started_at <= timeout
+        ):
+            return
+        if self._request_incomplete:
             await self._stop_reading()
+        else:
+            await self.close_if_idle()
 
     async def close(self, cause: CutCause = CutCause.CLOSED) -> None:
         """Close the connection; what it holds is free at once.
--- a/tests/contract/test_caller_sockets.py
+++ b/tests/contract/test_caller_sockets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import socket
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -38,6 +40,8 @@
     def __init__(self, stream: bytes) -> None:
         """Initialize with what the caller sends at once."""
         self._pieces = [stream]
+        # The other end stays open as long as this one.
+        self._ends = socket.socketpair()
         self._answers = 0
         self.sending = 0
 
@@ -52,6 +56,10 @@
         """Tell nothing, as a socket that is not TCP."""
         raise OSError
 
+    def fileno(self) -> int:
+        """Return a descriptor on which nothing has arrived."""
+        return self._ends[0].fileno()
+
     async def sendall(self, payload: bytes) -> None:
         """Accept the first answer only."""
         self._answers += 1
@@ -134,6 +142,23 @@
         client = ClosingClient(_close_overdue)
         self.assertThat(curio.run(_serve_closing, client), Equals([]))
 
+    def test_unread_request_at_the_time_out(self) -> None:
+        """A request that waits to be read when the time-out passes is answered.
+
+        A process that was late closed the connection under it.
+        """
+
+        async def _scenario(server, handler: SlowHandler, client):
+            await curio.sleep(HANDLER_DELAY_S / 4)
+            # Without giving the reader task a turn.
+            os.write(client.fileno(), REQUEST)
+            for connection in server._connections:
+                await _close_overdue(connection)
+            return await client.recv(65536)
+
+        received = run_scenario(_scenario)
+        self.assertThat(received, StartsWith(b'HTTP/1.1 200 '))
+
     def test_limit(self) -> None:
         """A request that meets a limit on connections is not handled."""
         client = ClosingClient(ClientConnection.close)
