Take an OSError of a handler for a failure, not for a caller that left

Seen in a test only: a handler that fails with an error of the operating system got its caller no answer, and the log said that the caller had left.

Cause: OSError was the way in which stand-ins close a connection without an answer, so any other one did the same. The test fails before (no bytes) and passes now (500).

Change: NoAnswerError says that; every other error is answered with 500.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -10,7 +10,7 @@
 
 from ._http_client import HttpRequest, HttpResponse
 from ._http_messages import check_framing, encode_response, decode_request
-from ._server_state import CutCause, HttpLimits, ServerState
+from ._server_state import CutCause, HttpLimits, NoAnswerError, ServerState
 from ._sockets import has_unread, round_trip_time
 
 _READ_BYTES = 65536
@@ -276,7 +276,7 @@
                 request = self._next_request
                 self._next_request = None
                 reusable = await self._answer(request)
-        except (OSError, h11.LocalProtocolError):
+        except (OSError, NoAnswerError, h11.LocalProtocolError):
             reusable = False
         finally:
             self._answer_task = None
@@ -309,7 +309,7 @@
     async def _call_handler(self, request: HttpRequest) -> HttpResponse:
         try:
             return await self._state.handler(request)
-        except OSError:
+        except NoAnswerError:
             raise
         except Exception as error:
             return self._fail(request, error)
--- a/src/daisydyke/_adapters/_server_state.py
+++ b/src/daisydyke/_adapters/_server_state.py
@@ -10,10 +10,13 @@
 from .._ports import Clock
 from ._http_client import HttpRequest, HttpResponse
 
-# An OSError closes the connection without a response.
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
+class NoAnswerError(Exception):
+    """Raised by a handler to close the connection without an answer."""
+
+
 class CutCause(Enum):
     """Why a request gets no whole answer.
 
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -22,6 +22,7 @@
 
 from daisydyke._adapters._http_client import HttpRequest, HttpResponse
 from daisydyke._adapters._http_server import HttpServer
+from daisydyke._adapters._server_state import NoAnswerError
 from daisydyke._settings._documents import parse_address
 
 _MAX_RUNTIME_S = 3600.0
@@ -172,7 +173,7 @@
         path: str,
     ) -> HttpResponse:
         if self._fault.mode == 'down':
-            raise ConnectionResetError('platform is down')
+            raise NoAnswerError('platform is down')
         await curio.sleep(self._fault.delay_ms / 1000)
         if path == '/v1/vms':
             self._calls.reads += 1
@@ -204,7 +205,7 @@
         text = request.body if request.method == 'PUT' else None
         written, version = await self._store.put(kind, name, expected, text)
         if self._fault.mode == 'lose':
-            raise ConnectionResetError('write took effect; response dropped')
+            raise NoAnswerError('write took effect; response dropped')
         status = HTTPStatus.OK if written else HTTPStatus.CONFLICT
         body = msgspec.json.encode(VersionBody(version))
         return HttpResponse(status, body)
@@ -231,7 +232,7 @@
             elapsed = await curio.clock() - started
             remaining = int(query['wait_ms']) / 1000 - elapsed
         if self._fault.mode == 'down':
-            raise ConnectionResetError('platform is down')
+            raise NoAnswerError('platform is down')
         return self._list(query, after)
 
 
--- a/stand_ins/platform_server.py
+++ b/stand_ins/platform_server.py
@@ -12,6 +12,7 @@
 
 from daisydyke._adapters._http_client import HttpRequest, HttpResponse
 from daisydyke._adapters._http_server import HttpServer
+from daisydyke._adapters._server_state import NoAnswerError
 from daisydyke._domain._model import Address
 
 _RECORD_COUNT = 4
@@ -115,7 +116,7 @@
 
     def _answer(self, request_id: str) -> HttpResponse:
         if self.loses:
-            raise ConnectionResetError('request ran; response dropped')
+            raise NoAnswerError('request ran; response dropped')
         status = HTTPStatus.OK
         if self.fails:
             status = HTTPStatus.INTERNAL_SERVER_ERROR
--- a/tests/contract/test_http_server.py
+++ b/tests/contract/test_http_server.py
@@ -335,17 +335,17 @@
     Its caller got no answer, and its connection stayed open.
     """
 
-    def answer_to(self, response: HttpResponse | None) -> bytes:
+    def answer_to(self, outcome: HttpResponse | Exception) -> bytes:
         """Return what a client gets.
 
         Parameters:
-            response: response that the handler returns; None if it fails.
+            outcome: response that the handler returns, or its failure.
         """
 
         async def _handle(request: HttpRequest) -> HttpResponse:
-            if response is None:
-                raise RuntimeError('unexpected')
-            return response
+            if isinstance(outcome, Exception):
+                raise outcome
+            return outcome
 
         async def _scenario(server, handler, client):
             server._state.handler = _handle
@@ -355,8 +355,13 @@
         return run_scenario(_scenario)
 
     def test_error(self) -> None:
-        """The client gets 500, which promises nothing."""
-        self.assertThat(self.answer_to(None), StartsWith(b'HTTP/1.1 500 '))
+        """The client gets 500, which promises nothing.
+
+        An error of the operating system was taken for a client that has left.
+        """
+        for error in (RuntimeError('unexpected'), OSError(28, 'no space')):
+            received = self.answer_to(error)
+            self.assertThat(received, StartsWith(b'HTTP/1.1 500 '))
 
     def test_response_that_cannot_be_sent(self) -> None:
         """A field that HTTP does not permit is no reason for silence."""
