--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -21,7 +21,7 @@
 from daisydyke._domain._model import Address
 from daisydyke.exceptions import DaisydykeError
 from soak._layouts import SMALL
-from soak._paced import PacedConnection
+from soak._paced import MAXIMUM_PAUSE_S, PacedConnection
 from soak._world import (
     CALLER_PORT,
     DIRECTORY_PORT,
@@ -103,7 +103,9 @@
         started = time.monotonic()
         self.sent += 1
         try:
-            async with curio.timeout_after(self._deadline_s(request)):
+            async with curio.timeout_after(
+                self._deadline_s(request) + MAXIMUM_PAUSE_S
+            ):
                 response = await connection.request(request)
         except (DaisydykeError, curio.TaskTimeout) as error:
             read = was_read(connection)
--- a/soak/_paced.py
+++ b/soak/_paced.py
@@ -12,7 +12,8 @@
 from daisydyke._domain._model import Address
 
 _PIECES_SHARE = 0.1
-_PAUSE_RANGE_S = (0.02, 0.5)
+_MINIMUM_PAUSE_S = 0.02
+MAXIMUM_PAUSE_S = 0.5
 
 
 class PacedConnection(HttpConnection):
@@ -41,7 +42,9 @@
         if self._draws.random() < _PIECES_SHARE:
             size = self._draws.randrange(1, len(payload))
             await stream.sendall(payload[:size])
-            await curio.sleep(self._draws.uniform(*_PAUSE_RANGE_S))
+            await curio.sleep(
+                self._draws.uniform(_MINIMUM_PAUSE_S, MAXIMUM_PAUSE_S)
+            )
             payload = payload[size:]
         await stream.sendall(payload)
         self.sent_at = time.monotonic()
