--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -193,7 +193,7 @@
         self,
         request: HttpRequest,
         sent_at: float,
-        error: Exception,
+        error: BaseException,
         *,
         read: bool,
     ) -> None:
@@ -208,6 +208,11 @@
             sent_at: monotonic time at which its last byte was sent.
             read: see ``was_read``.
         """
+        held_s = time.monotonic() - sent_at
+        timeout_s = self._deadline_s(request) - _PATIENCE_S
+        if isinstance(error, curio.TaskTimeout) and held_s < timeout_s:
+            # Connecting took the caller's time; the route's is not over yet.
+            return
         vm = self._connected_vm()
         request_id = request.headers['daisydyke-request-id']
         executed = any(
@@ -216,7 +221,6 @@
         undisturbed = self._cluster.undisturbed_since(
             vm, sent_at - self._deadline_s(request)
         )
-        held_s = time.monotonic() - sent_at
         if undisturbed and (executed or read or held_s > _LOSS_SLACK_S):
             self._cluster.report_lost(
                 vm,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -148,8 +148,28 @@
         self.check_lost(vm, now - 0.1, run=False, read=True)
         self.assertThat(self.cluster.violations, HasLength(3))
 
+    def test_caller_that_leaves(self) -> None:
+        """One that leaves before the route's timeout has lost nothing."""
+        vm = Vm('vm-1', 'h', Path(), Path(), None)
+        self.cluster.vms.append(vm)
+        timeout_s = SMALL.long_timeout_ms / 1000
+        for held_s, lost_count in ((timeout_s - 0.1, 0), (timeout_s + 0.1, 1)):
+            self.check_lost(
+                vm,
+                time.monotonic() - held_s,
+                run=True,
+                error=curio.TaskTimeout(0),
+            )
+            self.assertThat(self.cluster.violations, HasLength(lost_count))
+
     def check_lost(
-        self, vm: Vm, sent_at: float, *, run: bool, read: bool = False
+        self,
+        vm: Vm,
+        sent_at: float,
+        *,
+        run: bool,
+        read: bool = False,
+        error: BaseException | None = None,
     ) -> None:
         """Check a request whose connection ends now.
 
@@ -157,6 +177,7 @@
             sent_at: monotonic time at which it was sent.
             run: whether a server ran it.
             read: whether the VM had read it.
+            error: how it ended for the caller; its connection ends by default.
         """
         self.cluster.runs.clear()
         if run:
@@ -166,7 +187,9 @@
         request = HttpRequest(
             'GET', '/one/x', headers={'daisydyke-request-id': REQUEST_ID}
         )
-        caller._check_lost_answer(request, sent_at, EOFError(), read=read)
+        caller._check_lost_answer(
+            request, sent_at, error or EOFError(), read=read
+        )
 
 
 class TestWasRead(TestCase):
