Move the parsing of requests out of the client connection

It kept tasks and limits as well as the protocol state and the parts of a request.

Change: RequestStream, in a private module of its own, parses requests and encodes responses on the same h11 connection. No change of behaviour; no test is touched.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -9,7 +9,7 @@
 import h11
 
 from ._http_client import HttpRequest, HttpResponse
-from ._http_messages import check_framing, encode_response, decode_request
+from ._request_stream import RequestRejectedError, RequestStream
 from ._server_state import CutCause, HttpLimits, NoAnswerError, ServerState
 from ._sockets import has_unread, round_trip_time
 
@@ -23,10 +23,6 @@
 )
 
 
-class _RequestTooLargeError(Exception):
-    """The body is larger than ``HttpLimits.body_bytes``."""
-
-
 # Closes another connection that has been receiving a request for long, to
 # free its bytes; returns whether there was one.
 MakeRoom = Callable[['ClientConnection'], Awaitable[bool]]
@@ -54,31 +50,21 @@
         self._client = client
         self._limits = limits
         self._make_room = make_room
-        self._http = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=limits.head_bytes,
-        )
-        self._head: h11.Request | None = None
-        self._asks_for_head = False
-        self._next_request: HttpRequest | None = None
-        self._body = bytearray()
+        # Without data in flight, this is the time that the handshake took.
+        self._stream = RequestStream(limits, round_trip_time(client))
         self._held_bytes = 0
         self._pipelined_bytes = 0
         self._has_dropped = False
         self._answer_task: curio.Task | None = None
         self._reader_task: curio.Task | None = None
-        self._request_incomplete = False
         self._stopped = False
         self._cut_cause = CutCause.STOPPED
-        # Without data in flight, this is the time that the handshake took.
-        self._round_trip_s = round_trip_time(client)
-        self._connecting_s = self._round_trip_s
 
     @property
     def receiving(self) -> bool:
         """Whether a part of a request has arrived, and the rest has not."""
         return (
-            self._request_incomplete
+            self._stream.incomplete
             and self._answer_task is None
             and not self._stopped
         )
@@ -106,7 +92,7 @@
         idle = (
             self._answer_task is None
             and not self._stopped
-            and not self._request_incomplete
+            and not self._stream.incomplete
             and not has_unread(self._client.fileno())
         )
         if idle:
@@ -118,7 +104,7 @@
         limits = self._limits
         timeout = (
             limits.head_timeout
-            if self._request_incomplete
+            if self._stream.incomplete
             else limits.idle_timeout
         )
         if (
@@ -126,7 +112,7 @@
             or now - self.wait_started_at <= timeout
         ):
             return
-        if self._request_incomplete:
+        if self._stream.incomplete:
             await self._stop_reading()
         else:
             await self.close_if_idle()
@@ -159,7 +145,7 @@
         if not await self._acquire(len(received)):
             await self._send_error(HTTPStatus.SERVICE_UNAVAILABLE)
             return False
-        self._http.receive_data(received)
+        self._stream.receive(received)
         self._pipelined_bytes = 0
         if not await self._parse_or_send_error():
             return False
@@ -178,7 +164,7 @@
             and await self._acquire(len(received))
         )
         if within_limits:
-            self._http.receive_data(received)
+            self._stream.receive(received)
         else:
             self._has_dropped = True
 
@@ -204,78 +190,32 @@
 
     async def _parse_or_send_error(self) -> bool:
         """Parse the received data; return whether to go on reading."""
+        was_incomplete = self._stream.incomplete
         try:
-            return await self._parse()
-        except h11.RemoteProtocolError as error:
-            await self._send_error(error.error_status_hint)
-        except _RequestTooLargeError:
-            await self._send_error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        return False
-
-    async def _parse(self) -> bool:
-        if self._head is None:
-            # h11 does not tell the method of a request that it rejects.
-            unparsed = self._http.trailing_data[0]
-            self._asks_for_head = unparsed.startswith(b'HEAD ')
-        while True:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA:
-                await self._handle_incomplete_request()
-                return True
-            if isinstance(event, h11.Request):
-                self._head = event
-                check_framing(event)
-                self._body.clear()
-            elif isinstance(event, h11.Data):
-                self._append_to_body(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                self._take_request()
-                return True
-            else:
-                return False
-
-    def _append_to_body(self, chunk: bytes) -> None:
-        self._body.extend(chunk)
-        if len(self._body) > self._limits.body_bytes:
-            raise _RequestTooLargeError
+            going_on = self._stream.parse()
+        except RequestRejectedError as error:
+            await self._send_error(error.status)
+            return False
+        if going_on and self._stream.incomplete:
+            await self._await_rest(was_incomplete)
+        return going_on
 
-    async def _handle_incomplete_request(self) -> None:
-        incomplete = bool(self._http.trailing_data[0]) or self._head is not None
-        if incomplete and not self._request_incomplete:
+    async def _await_rest(self, was_incomplete: bool) -> None:
+        """Let the client send the rest of a request, within its time-out."""
+        if not was_incomplete:
             self.wait_started_at = self._state.clock.monotonic()
-        self._request_incomplete = incomplete
-        if self._http.they_are_waiting_for_100_continue:
-            interim = h11.InformationalResponse(
-                status_code=HTTPStatus.CONTINUE,
-                headers=[],
-            )
-            await self._client.sendall(self._http.send(interim))
-
-    def _take_request(self) -> None:
-        head = self._head
-        if head is None:
-            return
-        self._head = None
-        self._asks_for_head = False
-        self._request_incomplete = False
-        self._next_request = decode_request(
-            head, bytes(self._body), self._round_trip_s, self._connecting_s
-        )
-        self._body = bytearray()
-        self._connecting_s = 0
+        interim = self._stream.encode_interim()
+        if interim:
+            await self._client.sendall(interim)
 
     async def _start_answer(self) -> None:
-        if self._next_request is not None:
+        if self._stream.has_request:
             self._answer_task = await curio.spawn(self._answer_all, daemon=True)
 
     async def _answer_all(self) -> None:
         """Answer a request, and those that arrive whole until its end."""
-        reusable = True
         try:
-            while reusable and self._next_request is not None:
-                request = self._next_request
-                self._next_request = None
-                reusable = await self._answer(request)
+            reusable = await self._answer_in_order()
         except (OSError, NoAnswerError, h11.LocalProtocolError):
             reusable = False
         finally:
@@ -283,6 +223,15 @@
         if not reusable:
             await self._stop_reading()
 
+    async def _answer_in_order(self) -> bool:
+        """Answer while there is a request; return whether to go on reading."""
+        request = self._stream.take_request()
+        while request is not None:
+            if not await self._answer(request):
+                return False
+            request = self._stream.take_request()
+        return True
+
     async def _answer(self, request: HttpRequest) -> bool:
         """Answer a request; return whether the connection stays open."""
         self._state.requests_in_progress += 1
@@ -321,12 +270,8 @@
         return _FAILURE
 
     def _encode(self, request: HttpRequest, response: HttpResponse) -> bytes:
-        return encode_response(
-            self._http,
-            response,
-            last=self._is_last() or response is _FAILURE,
-            bodiless=request.method == 'HEAD',
-        )
+        last = self._is_last() or response is _FAILURE
+        return self._stream.encode(request, response, last=last)
 
     def _is_last(self) -> bool:
         """Return whether the connection closes with the next response.
@@ -335,21 +280,16 @@
         """
         if self._has_dropped:
             return True
-        return self._state.closing and not self._http.trailing_data[0]
+        return self._state.closing and not self._stream.unparsed_bytes
 
     async def _begin_next_cycle(self) -> bool:
         """Parse what has arrived; return whether the connection stays open."""
-        reusable = (
-            self._http.our_state is h11.DONE
-            and self._http.their_state is h11.DONE
-            and not self._has_dropped
-        )
-        if not reusable:
+        if self._has_dropped or not self._stream.begin_next_cycle():
             return False
-        self._http.start_next_cycle()
-        self._hold(len(self._http.trailing_data[0]))
+        unparsed_bytes = self._stream.unparsed_bytes
+        self._hold(unparsed_bytes)
         self.wait_started_at = self._state.clock.monotonic()
-        if not self._http.trailing_data[0]:
+        if not unparsed_bytes:
             return True
         return await self._parse_or_send_error()
 
@@ -360,22 +300,14 @@
             await self._reader_task.cancel(blocking=False)
 
     async def _send_error(self, status: int) -> None:
-        if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+        if not self._stream.can_respond:
             return
         reason = HTTPStatus(status).phrase.lower().replace(' ', '_')
         body = f'{{"code":"{reason}","outcome":"not_run"}}'.encode()
-        if self._head is None and self._asks_for_head:
-            body = b''
         headers = {}
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
             headers['retry-after'] = str(_RETRY_AFTER_S)
         error_response = HttpResponse(status, body, headers)
         await self._client.sendall(
-            encode_response(
-                self._http,
-                error_response,
-                last=True,
-                bodiless=self._head is not None
-                and self._head.method == b'HEAD',
-            ),
+            self._stream.encode_rejection(error_response)
         )
