--- a/tests/platform/test_leaving_paused.py
+++ b/tests/platform/test_leaving_paused.py
@@ -6,10 +6,7 @@
 
 from __future__ import annotations
 
-import json
 import signal
-import subprocess
-import sys
 import tempfile
 import time
 from pathlib import Path
@@ -20,7 +17,7 @@
 from testtools.matchers import Contains, LessThan
 
 from daisydyke._mirror._mirror import KindMirror
-from tests.platform import test_exit, test_leaving
+from tests.platform import gateway_process, test_leaving
 
 # Long enough that the process takes it for a pause.
 PAUSE_S = 1.8
@@ -36,16 +33,7 @@
 
 def _stop_in_pause(folder: Path, pause_s: float) -> float:
     """Send SIGTERM to a paused process; return when it ended after that."""
-    path = folder / 'node.json'
-    path.write_text(json.dumps(test_exit.SETTINGS))
-    log_path = folder / 'log'
-    with log_path.open('wb') as log:
-        process = subprocess.Popen(
-            [sys.executable, '-m', 'daisydyke._cli._gateway_main', str(path)],
-            stdout=log,
-            stderr=log,
-        )
-    test_exit.wait_for_start(log_path)
+    process = gateway_process.start(folder)
     process.send_signal(signal.SIGSTOP)
     sent_at = time.monotonic()
     process.send_signal(signal.SIGTERM)
@@ -71,5 +59,5 @@
     def test_signal_during_a_pause(self) -> None:
         """The grace period starts with the signal, not when it is read."""
         with tempfile.TemporaryDirectory() as folder:
-            took_s = _stop_in_pause(Path(folder), test_exit.GRACE_S / 2)
-        self.assertThat(took_s, LessThan(test_exit.GRACE_S))
+            took_s = _stop_in_pause(Path(folder), gateway_process.GRACE_S / 2)
+        self.assertThat(took_s, LessThan(gateway_process.GRACE_S))
