Close no connection under the rest of a request that waits to be read

Seen in a test only: a caller whose request had arrived in two pieces, the second one before the time-out was checked, got a reset.

With half a request read, the time-out for the rest looked at the time alone, so a process that is late checked it before the reading task had its turn. The test fails before (ConnectionResetError) and passes now; the tests of both time-outs and of slow callers pass as before.

Change: both time-outs ask whether anything waits to be read. What waits is read in the next turn, and counts against the limits on sizes, so that nobody gains a connection without end.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -126,10 +126,10 @@
             or now - self.wait_started_at <= timeout
         ):
             return
-        if self._request_incomplete:
+        # A process that is late may not have read what has arrived. Whoever
+        # sends on and on meets the limits on sizes.
+        if not has_unread(self._client.fileno()):
             await self._stop_reading()
-        else:
-            await self.close_if_idle()
 
     async def close(self, cause: CutCause = CutCause.CLOSED) -> None:
         """Close the connection; what it holds is free at once.
--- a/tests/contract/test_caller_sockets.py
+++ b/tests/contract/test_caller_sockets.py
@@ -159,6 +159,24 @@
         received = run_scenario(_scenario)
         self.assertThat(received, StartsWith(b'HTTP/1.1 200 '))
 
+    def test_unread_rest_at_the_time_out(self) -> None:
+        """A request whose rest waits to be read at the time-out is answered.
+
+        A process that was late closed the connection under it.
+        """
+
+        async def _scenario(server, handler: SlowHandler, client):
+            await client.sendall(REQUEST[:-2])
+            await curio.sleep(HANDLER_DELAY_S / 4)
+            # Without giving the reader task a turn.
+            os.write(client.fileno(), REQUEST[-2:])
+            for connection in server._connections:
+                await _close_overdue(connection)
+            return await client.recv(65536)
+
+        received = run_scenario(_scenario)
+        self.assertThat(received, StartsWith(b'HTTP/1.1 200 '))
+
     def test_limit(self) -> None:
         """A request that meets a limit on connections is not handled."""
         client = ClosingClient(ClientConnection.close)
