Soak: give a caller only the time that its own pause takes

Seen in a test: an answer 0.8 s after the route's timeout passed unseen; before its request was reported, since the caller had left after 0.5 s.

Cause: every request got the longest pause on top of its patience, though nine of ten have no pause.

Change: the pause is drawn before the request and added as it is. The test fails before (nothing reported) and passes now.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -21,7 +21,7 @@
 from daisydyke._domain._model import Address
 from daisydyke.exceptions import DaisydykeError
 from soak._layouts import SMALL
-from soak._paced import MAXIMUM_PAUSE_S, PacedConnection
+from soak._paced import PacedConnection
 from soak._world import (
     CALLER_PORT,
     DIRECTORY_PORT,
@@ -104,7 +104,7 @@
         self.sent += 1
         try:
             async with curio.timeout_after(
-                self._deadline_s(request) + MAXIMUM_PAUSE_S
+                self._deadline_s(request) + connection.draw_pause_s()
             ):
                 response = await connection.request(request)
         except (DaisydykeError, curio.TaskTimeout) as error:
--- a/soak/_paced.py
+++ b/soak/_paced.py
@@ -13,7 +13,7 @@
 
 _PIECES_SHARE = 0.1
 _MINIMUM_PAUSE_S = 0.02
-MAXIMUM_PAUSE_S = 0.5
+_MAXIMUM_PAUSE_S = 0.5
 
 
 class PacedConnection(HttpConnection):
@@ -28,8 +28,18 @@
         """Initialize with the draws of pieces and pauses."""
         super().__init__(address)
         self._draws = draws
+        self._pause_s: float = 0
         self.sent_at = math.inf
 
+    def draw_pause_s(self) -> float:
+        """Draw the pause within the next request; 0 for most."""
+        self._pause_s = 0
+        if self._draws.random() < _PIECES_SHARE:
+            self._pause_s = self._draws.uniform(
+                _MINIMUM_PAUSE_S, _MAXIMUM_PAUSE_S
+            )
+        return self._pause_s
+
     async def connect(self) -> None:
         """Open a new socket, closing the current one if there is one."""
         await super().connect()
@@ -37,14 +47,12 @@
             self._socket = _PacedSocket(self._socket, self)
 
     async def send_pieces(self, stream: StreamSocket, payload: bytes) -> None:
-        """Send a request, at times with a pause within it."""
+        """Send a request with the pause that was drawn for it."""
         self.sent_at = math.inf
-        if self._draws.random() < _PIECES_SHARE:
+        if self._pause_s:
             size = self._draws.randrange(1, len(payload))
             await stream.sendall(payload[:size])
-            await curio.sleep(
-                self._draws.uniform(_MINIMUM_PAUSE_S, MAXIMUM_PAUSE_S)
-            )
+            await curio.sleep(self._pause_s)
             payload = payload[size:]
         await stream.sendall(payload)
         self.sent_at = time.monotonic()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -3,11 +3,13 @@
 import heapq
 import tempfile
 import time
+from collections.abc import Iterable
+from dataclasses import replace
 from pathlib import Path
 
 import curio
 from testtools import TestCase
-from testtools.matchers import Equals, HasLength
+from testtools.matchers import Equals, HasLength, StartsWith
 
 from daisydyke._adapters._http_client import (
     HttpConnection,
@@ -18,7 +20,7 @@
 from daisydyke.exceptions import DaisydykeError
 from soak._callers import Caller, merge_errors, was_read
 from soak._layouts import SMALL
-from soak._world import DRAIN_LIMIT_S, SoakCluster, Vm
+from soak._world import CALLER_PORT, DRAIN_LIMIT_S, SoakCluster, Vm
 from stand_ins.platform_server import (
     RECORD_BYTES,
     PlatformServerStandIn,
@@ -29,6 +31,8 @@
 REQUEST_ID = 'r1'
 SHARDS = SMALL.shard_sets[0]
 TOP_K = 6
+TIMEOUT_MS = 100
+REFUSAL = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
 SERVER = PlatformServerStandIn('i-1', 'p0', 'north', Address('h', 1))
 
 
@@ -169,6 +173,51 @@
         caller._check_lost_answer(request, sent_at, EOFError(), read=read)
 
 
+class TestCaller(TestCase):
+    """Caller"""
+
+    def violations(self, answers: Iterable[float | None]) -> list[str]:
+        """Return what a caller reports of a VM, with a request for each answer.
+
+        Parameters:
+            answers: delay of each answer in seconds; None to close instead.
+        """
+        delays = iter(answers)
+        vm = Vm('vm-1', '127.0.95.2', Path(), Path(), None)
+        layout = replace(SMALL, timeout_ms=TIMEOUT_MS, long_timeout_ms=100)
+
+        async def _serve(stream, address) -> None:
+            async with stream:
+                await stream.recv(65536)
+                delay_s = next(delays)
+                if delay_s is not None:
+                    await curio.sleep(delay_s)
+                    await stream.sendall(REFUSAL)
+
+        async def _send_requests() -> list[str]:
+            with tempfile.TemporaryDirectory() as folder:
+                cluster = SoakCluster(1, Path(folder), layout)
+                cluster.vms.append(vm)
+                await curio.spawn(
+                    curio.tcp_server(vm.host, CALLER_PORT, _serve), daemon=True
+                )
+                await curio.sleep(0.05)
+                caller = Caller(cluster, 1, 1)
+                caller._addresses = [f'{vm.host}:{CALLER_PORT}']
+                caller._resolved_at = time.monotonic() + 1000
+                for _ in answers:
+                    await caller._send_request()
+                    await curio.sleep(0.05)
+                return cluster.violations
+
+        return curio.run(_send_requests)
+
+    def test_late_answer(self) -> None:
+        """A caller without a pause of its own waits no longer than others."""
+        (violation,) = self.violations([TIMEOUT_MS / 1000 + 0.8])
+        self.assertThat(violation, StartsWith('LOST at vm-1'))
+
+
 class TestWasRead(TestCase):
     """was_read()"""
 
