Soak: count the answers of the connection that was lost

Cause: the connection opens a new socket by itself when the VM has closed the old one, and the count went on.

Change: the connection counts, and begins anew with each socket. The test fails before ('after 1 answers') and passes now.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -79,7 +79,6 @@
         self._resolved_at: float = 0
         self._connection: PacedConnection | None = None
         self._connected_host = ''
-        self._answers = 0
         self._answered_at: float = 0
         self._stays = bool(number % 2)
         self.served = 0
@@ -114,10 +113,13 @@
                 self._connected_host = ''
             elif connection.sent_at < math.inf:
                 self._check_lost_answer(
-                    request, connection.sent_at, error, read=read
+                    request,
+                    connection.sent_at,
+                    error,
+                    read=read,
+                    answers=connection.answers,
                 )
             return
-        self._answers += 1
         self._answered_at = time.monotonic()
         self._check_response(request, response, started)
         if response.headers.get('connection') == 'close':
@@ -139,7 +141,6 @@
             self._connection = PacedConnection(
                 Address(self._connected_host, CALLER_PORT), self._paces
             )
-            self._answers = 0
         return self._connection
 
     def _next_request(self) -> HttpRequest:
@@ -196,6 +197,7 @@
         error: Exception,
         *,
         read: bool,
+        answers: int,
     ) -> None:
         """Check that the request was not read, or that a fault explains it.
 
@@ -207,6 +209,7 @@
         Parameters:
             sent_at: monotonic time at which its last byte was sent.
             read: see ``was_read``.
+            answers: number of answers on its connection before.
         """
         vm = self._connected_vm()
         request_id = request.headers['daisydyke-request-id']
@@ -223,7 +226,7 @@
                 request,
                 held_s,
                 f'{error}; executed {executed}, read {read}, '
-                f'after {self._answers} answers on the connection',
+                f'after {answers} answers on the connection',
             )
 
     def _check_response(
--- a/soak/_paced.py
+++ b/soak/_paced.py
@@ -8,7 +8,12 @@
 
 import curio
 
-from daisydyke._adapters._http_client import HttpConnection, StreamSocket
+from daisydyke._adapters._http_client import (
+    HttpConnection,
+    HttpRequest,
+    HttpResponse,
+    StreamSocket,
+)
 from daisydyke._domain._model import Address
 
 _PIECES_SHARE = 0.1
@@ -20,6 +25,7 @@
     """Sends some requests in two pieces with a pause between them.
 
     Attributes:
+        answers: number of answers on the open socket.
         sent_at: monotonic time at which the last byte of the latest request
             was sent; infinity before.
     """
@@ -29,6 +35,7 @@
         super().__init__(address)
         self._draws = draws
         self._pause_s: float = 0
+        self.answers = 0
         self.sent_at = math.inf
 
     def draw_pause_s(self) -> float:
@@ -40,8 +47,15 @@
             )
         return self._pause_s
 
+    async def request(self, request: HttpRequest) -> HttpResponse:
+        """Send a request and read its whole response."""
+        response = await super().request(request)
+        self.answers += 1
+        return response
+
     async def connect(self) -> None:
         """Open a new socket, closing the current one if there is one."""
+        self.answers = 0
         await super().connect()
         if self._socket is not None:
             self._socket = _PacedSocket(self._socket, self)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -9,7 +9,7 @@
 
 import curio
 from testtools import TestCase
-from testtools.matchers import Equals, HasLength, StartsWith
+from testtools.matchers import Contains, Equals, HasLength, StartsWith
 
 from daisydyke._adapters._http_client import (
     HttpConnection,
@@ -170,7 +170,9 @@
         request = HttpRequest(
             'GET', '/one/x', headers={'daisydyke-request-id': REQUEST_ID}
         )
-        caller._check_lost_answer(request, sent_at, EOFError(), read=read)
+        caller._check_lost_answer(
+            request, sent_at, EOFError(), read=read, answers=0
+        )
 
 
 class TestCaller(TestCase):
@@ -217,6 +219,11 @@
         (violation,) = self.violations([TIMEOUT_MS / 1000 + 0.8])
         self.assertThat(violation, StartsWith('LOST at vm-1'))
 
+    def test_answers_on_a_new_connection(self) -> None:
+        """The answers on an earlier connection are not counted."""
+        (violation,) = self.violations([0, None])
+        self.assertThat(violation, Contains('after 0 answers'))
+
 
 class TestWasRead(TestCase):
     """was_read()"""
