Close an idle connection for its caller at once

Cause: an idle connection was closed by its reading task, in its next turn. Until then the kernel took in requests that nobody would read. The test fails before (the caller sees nothing until another task runs) and passes now.

Change: the drain, the time-outs and the limit shut the socket down in the same step in which they find nothing unread.

--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -11,7 +11,7 @@
 from ._http_client import HttpRequest, HttpResponse
 from ._http_messages import check_framing, encode_response, decode_request
 from ._server_state import CutCause, HttpLimits, NoAnswerError, ServerState
-from ._sockets import has_unread, round_trip_time
+from ._sockets import has_unread, round_trip_time, shut_down
 
 _READ_BYTES = 65536
 _MAXIMUM_PIPELINED_BYTES = 262144
@@ -110,6 +110,7 @@
             and not has_unread(self._client.fileno())
         )
         if idle:
+            await shut_down(self._client)
             await self._stop_reading()
         return idle
 
@@ -129,6 +130,7 @@
         # A process that is late may not have read what has arrived. Whoever
         # sends on and on meets the limits on sizes.
         if not has_unread(self._client.fileno()):
+            await shut_down(self._client)
             await self._stop_reading()
 
     async def close(self, cause: CutCause = CutCause.CLOSED) -> None:
--- a/src/daisydyke/_adapters/_sockets.py
+++ b/src/daisydyke/_adapters/_sockets.py
@@ -5,6 +5,7 @@
 import os
 import select
 import struct
+from contextlib import suppress
 
 import curio
 
@@ -72,6 +73,17 @@
     return bool(poller.poll(0))
 
 
+async def shut_down(stream: curio.io.Socket) -> None:
+    """End a connection for the peer at once, before the socket is closed.
+
+    The kernel rejects what the peer sends until then, however late the task
+    that closes the socket has its next turn.
+    """
+    with suppress(OSError):
+        # It raises if the peer has just reset the connection.
+        await stream.shutdown(curio.socket.SHUT_RDWR)
+
+
 def round_trip_time(stream: curio.io.Socket) -> float:
     """Return the round-trip time to the peer in seconds; 0 if unknown."""
     size = _ROUND_TRIP_OFFSET_BYTES + _ROUND_TRIP.size
--- a/tests/contract/test_caller_sockets.py
+++ b/tests/contract/test_caller_sockets.py
@@ -14,6 +14,7 @@
 from daisydyke._adapters._server_state import CutCause, HttpLimits, ServerState
 from daisydyke._adapters._clock import RuntimeClock
 from daisydyke._adapters._http_client import HttpRequest, HttpResponse
+from daisydyke._adapters._sockets import has_unread
 from daisydyke._domain._byte_budget import ByteBudget
 from tests.contract.test_http_server import (
     HANDLER_DELAY_S,
@@ -60,6 +61,9 @@
         """Return a descriptor on which nothing has arrived."""
         return self._ends[0].fileno()
 
+    async def shutdown(self, how: int) -> None:
+        """Do nothing, as what was sent has arrived."""
+
     async def sendall(self, payload: bytes) -> None:
         """Accept the first answer only."""
         self._answers += 1
@@ -177,6 +181,20 @@
         received = run_scenario(_scenario)
         self.assertThat(received, StartsWith(b'HTTP/1.1 200 '))
 
+    def test_caller_learns_of_the_close_at_once(self) -> None:
+        """A connection is closed for the caller before any task has a turn.
+
+        A request sent while the process was late was reset only afterwards.
+        """
+
+        async def _scenario(server, handler: SlowHandler, client):
+            await curio.sleep(HANDLER_DELAY_S / 4)
+            (connection,) = server._connections
+            await connection.close_if_idle()
+            return has_unread(client.fileno())
+
+        self.assertThat(run_scenario(_scenario), Equals(True))
+
     def test_limit(self) -> None:
         """A request that meets a limit on connections is not handled."""
         client = ClosingClient(ClientConnection.close)
