Soak: wait for a reset before a request counts as read

Cause: the reset follows the end of the stream, and may come after it was looked for.

Change: the state is looked at again after 20 ms. The test fails before and passes now. How long the request was held does not count that time, so the check is as strict on requests that were read.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -41,6 +41,8 @@
 _USED_IDLE_SHARE = 0.8
 # Closed by the peer only, in Linux's tcp_info.
 _CLOSE_WAIT = 8
+# For a reset that is on its way when the end of the stream is read.
+_RESET_S = 0.02
 # Must match ``top_k`` and ``min_shard_share`` in ``soak._world``.
 _TOP_K = 6
 _MIN_SHARE = 0.5
@@ -107,7 +109,8 @@
             ):
                 response = await connection.request(request)
         except (DaisydykeError, curio.TaskTimeout) as error:
-            read = was_read(connection)
+            ended_at = time.monotonic()
+            read = await was_read(connection)
             await self._close_connection()
             if not connection.sent:
                 self._connected_host = ''
@@ -115,6 +118,7 @@
                 self._check_lost_answer(
                     request,
                     connection.sent_at,
+                    ended_at,
                     error,
                     read=read,
                     answers=connection.answers,
@@ -194,6 +198,7 @@
         self,
         request: HttpRequest,
         sent_at: float,
+        ended_at: float,
         error: Exception,
         *,
         read: bool,
@@ -208,6 +213,7 @@
 
         Parameters:
             sent_at: monotonic time at which its last byte was sent.
+            ended_at: monotonic time at which its connection ended.
             read: see ``was_read``.
             answers: number of answers on its connection before.
         """
@@ -219,7 +225,7 @@
         undisturbed = self._cluster.undisturbed_since(
             vm, sent_at - self._deadline_s(request)
         )
-        held_s = time.monotonic() - sent_at
+        held_s = ended_at - sent_at
         if undisturbed and (executed or read or held_s > _LOSS_SLACK_S):
             self._cluster.report_lost(
                 vm,
@@ -289,12 +295,19 @@
         return timeout_ms / _MS_PER_S + _PATIENCE_S
 
 
-def was_read(connection: HttpConnection) -> bool:
+async def was_read(connection: HttpConnection) -> bool:
     """Return whether the peer had read all that was sent when it closed.
 
     The kernel resets a connection that is closed with bytes unread, or that
-    receives more afterwards.
+    receives more afterwards. The reset may come after the end of the stream.
     """
+    if not _is_closed_by_peer_only(connection):
+        return False
+    await curio.sleep(_RESET_S)
+    return _is_closed_by_peer_only(connection)
+
+
+def _is_closed_by_peer_only(connection: HttpConnection) -> bool:
     stream = connection._socket  # noqa: SLF001
     if stream is None:
         return False
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -171,7 +171,12 @@
             'GET', '/one/x', headers={'daisydyke-request-id': REQUEST_ID}
         )
         caller._check_lost_answer(
-            request, sent_at, EOFError(), read=read, answers=0
+            request,
+            sent_at,
+            time.monotonic(),
+            EOFError(),
+            read=read,
+            answers=0,
         )
 
 
@@ -225,6 +230,18 @@
         self.assertThat(violation, Contains('after 0 answers'))
 
 
+class EndingSocket:
+    """Socket that is reset just after the end of its stream was read."""
+
+    def __init__(self) -> None:
+        """Initialize with the states CLOSE_WAIT and then CLOSE."""
+        self._states = [b'\x08', b'\x07']
+
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        """Return the next state."""
+        return self._states.pop(0)
+
+
 class TestWasRead(TestCase):
     """was_read()"""
 
@@ -251,11 +268,20 @@
             try:
                 await connection.request(HttpRequest('GET', '/x'))
             except DaisydykeError:
-                return was_read(connection)
+                return await was_read(connection)
             return False
 
         return curio.run(_request)
 
+    def test_reset_behind_the_end(self) -> None:
+        """A reset that comes after the end of the stream tells of no reading.
+
+        A request that had crossed the close was reported as read.
+        """
+        connection = HttpConnection(Address('h', 1))
+        connection._socket = EndingSocket()
+        self.assertThat(curio.run(was_read, connection), Equals(False))
+
     def test_ends(self) -> None:
         """A request that was read is told from one that was not."""
         self.assertThat(self.ends(read=True), Equals(True))
