Soak: count no request as read that was never acknowledged

Cause: the state alone does not tell whether the request arrived before the end of the stream.

Change: nothing may be unacknowledged. The end of the stream acknowledges all that was read, so the check is as strict on requests that were read. The test fails before and passes now.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -5,6 +5,7 @@
 import heapq
 import math
 import random
+import struct
 import time
 from collections.abc import Iterator
 from http import HTTPStatus
@@ -41,6 +42,8 @@
 _USED_IDLE_SHARE = 0.8
 # Closed by the peer only, in Linux's tcp_info.
 _CLOSE_WAIT = 8
+# State and number of segments without acknowledgement in it.
+_TCP_INFO = struct.Struct('=B23xI')
 # For a reset that is on its way when the end of the stream is read.
 _RESET_S = 0.02
 # Must match ``top_k`` and ``min_shard_share`` in ``soak._world``.
@@ -312,8 +315,10 @@
     if stream is None:
         return False
     sockets = curio.socket
-    state = stream.getsockopt(sockets.IPPROTO_TCP, sockets.TCP_INFO, 1)
-    return state[0] == _CLOSE_WAIT
+    state, unacknowledged = _TCP_INFO.unpack(
+        stream.getsockopt(sockets.IPPROTO_TCP, sockets.TCP_INFO, _TCP_INFO.size)
+    )
+    return state == _CLOSE_WAIT and not unacknowledged
 
 
 def merge_errors(
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,6 +1,7 @@
 """Tests that the checks of the soak report violations and nothing else."""
 
 import heapq
+import struct
 import tempfile
 import time
 from collections.abc import Iterable
@@ -231,15 +232,15 @@
 
 
 class EndingSocket:
-    """Socket that is reset just after the end of its stream was read."""
+    """Socket of which TCP tells successive states."""
 
-    def __init__(self) -> None:
-        """Initialize with the states CLOSE_WAIT and then CLOSE."""
-        self._states = [b'\x08', b'\x07']
+    def __init__(self, *states: tuple[int, int]) -> None:
+        """Initialize with states and numbers of unacknowledged segments."""
+        self._states = list(states)
 
     def getsockopt(self, level: int, option: int, size: int) -> bytes:
         """Return the next state."""
-        return self._states.pop(0)
+        return struct.pack('=B23xI', *self._states.pop(0))
 
 
 class TestWasRead(TestCase):
@@ -278,9 +279,18 @@
 
         A request that had crossed the close was reported as read.
         """
+        self.assertThat(self.read_in((8, 0), (7, 0)), Equals(False))
+        self.assertThat(self.read_in((8, 0), (8, 0)), Equals(True))
+
+    def test_unacknowledged(self) -> None:
+        """A request that was never acknowledged has not been read."""
+        self.assertThat(self.read_in((8, 1), (8, 1)), Equals(False))
+
+    def read_in(self, *states: tuple[int, int]) -> bool:
+        """Return what is told of a connection in successive states."""
         connection = HttpConnection(Address('h', 1))
-        connection._socket = EndingSocket()
-        self.assertThat(curio.run(was_read, connection), Equals(False))
+        connection._socket = EndingSocket(*states)
+        return curio.run(was_read, connection)
 
     def test_ends(self) -> None:
         """A request that was read is told from one that was not."""
