--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -5,6 +5,7 @@
 import heapq
 import math
 import random
+import struct
 import time
 from collections.abc import Iterator
 from http import HTTPStatus
@@ -21,7 +22,7 @@
 from daisydyke._domain._model import Address
 from daisydyke.exceptions import DaisydykeError
 from soak._layouts import SMALL
-from soak._paced import MAXIMUM_PAUSE_S, PacedConnection
+from soak._paced import PacedConnection
 from soak._world import (
     CALLER_PORT,
     DIRECTORY_PORT,
@@ -41,6 +42,10 @@
 _USED_IDLE_SHARE = 0.8
 # Closed by the peer only, in Linux's tcp_info.
 _CLOSE_WAIT = 8
+# State and number of segments without acknowledgement in it.
+_TCP_INFO = struct.Struct('=B23xI')
+# For a reset that is on its way when the end of the stream is read.
+_RESET_S = 0.02
 # Must match ``top_k`` and ``min_shard_share`` in ``soak._world``.
 _TOP_K = 6
 _MIN_SHARE = 0.5
@@ -79,7 +84,6 @@
         self._resolved_at: float = 0
         self._connection: PacedConnection | None = None
         self._connected_host = ''
-        self._answers = 0
         self._answered_at: float = 0
         self._stays = bool(number % 2)
         self.served = 0
@@ -104,20 +108,25 @@
         self.sent += 1
         try:
             async with curio.timeout_after(
-                self._deadline_s(request) + MAXIMUM_PAUSE_S
+                self._deadline_s(request) + connection.draw_pause_s()
             ):
                 response = await connection.request(request)
         except (DaisydykeError, curio.TaskTimeout) as error:
-            read = was_read(connection)
+            ended_at = time.monotonic()
+            read = await was_read(connection)
             await self._close_connection()
             if not connection.sent:
                 self._connected_host = ''
             elif connection.sent_at < math.inf:
                 self._check_lost_answer(
-                    request, connection.sent_at, error, read=read
+                    request,
+                    connection.sent_at,
+                    ended_at,
+                    error,
+                    read=read,
+                    answers=connection.answers,
                 )
             return
-        self._answers += 1
         self._answered_at = time.monotonic()
         self._check_response(request, response, started)
         if response.headers.get('connection') == 'close':
@@ -139,7 +148,6 @@
             self._connection = PacedConnection(
                 Address(self._connected_host, CALLER_PORT), self._paces
             )
-            self._answers = 0
         return self._connection
 
     def _next_request(self) -> HttpRequest:
@@ -193,9 +201,11 @@
         self,
         request: HttpRequest,
         sent_at: float,
+        ended_at: float,
         error: BaseException,
         *,
         read: bool,
+        answers: int,
     ) -> None:
         """Check that the request was not read, or that a fault explains it.
 
@@ -206,9 +216,11 @@
 
         Parameters:
             sent_at: monotonic time at which its last byte was sent.
+            ended_at: monotonic time at which its connection ended.
             read: see ``was_read``.
+            answers: number of answers on its connection before.
         """
-        held_s = time.monotonic() - sent_at
+        held_s = ended_at - sent_at
         timeout_s = self._deadline_s(request) - _PATIENCE_S
         if isinstance(error, curio.TaskTimeout) and held_s < timeout_s:
             # Connecting took the caller's time; the route's is not over yet.
@@ -227,7 +239,7 @@
                 request,
                 held_s,
                 f'{error}; executed {executed}, read {read}, '
-                f'after {self._answers} answers on the connection',
+                f'after {answers} answers on the connection',
             )
 
     def _check_response(
@@ -290,18 +302,27 @@
         return timeout_ms / _MS_PER_S + _PATIENCE_S
 
 
-def was_read(connection: HttpConnection) -> bool:
+async def was_read(connection: HttpConnection) -> bool:
     """Return whether the peer had read all that was sent when it closed.
 
     The kernel resets a connection that is closed with bytes unread, or that
-    receives more afterwards.
+    receives more afterwards. The reset may come after the end of the stream.
     """
+    if not _is_closed_by_peer_only(connection):
+        return False
+    await curio.sleep(_RESET_S)
+    return _is_closed_by_peer_only(connection)
+
+
+def _is_closed_by_peer_only(connection: HttpConnection) -> bool:
     stream = connection._socket  # noqa: SLF001
     if stream is None:
         return False
     sockets = curio.socket
-    state = stream.getsockopt(sockets.IPPROTO_TCP, sockets.TCP_INFO, 1)
-    return state[0] == _CLOSE_WAIT
+    state, unacknowledged = _TCP_INFO.unpack(
+        stream.getsockopt(sockets.IPPROTO_TCP, sockets.TCP_INFO, _TCP_INFO.size)
+    )
+    return state == _CLOSE_WAIT and not unacknowledged
 
 
 def merge_errors(
--- a/src/daisydyke/_adapters/_client_connection.py
+++ b/src/daisydyke/_adapters/_client_connection.py
@@ -11,7 +11,7 @@
 from ._http_client import HttpRequest, HttpResponse
 from ._request_stream import RequestRejectedError, RequestStream
 from ._server_state import CutCause, HttpLimits, NoAnswerError, ServerState
-from ._sockets import has_unread, round_trip_time
+from ._sockets import has_unread, round_trip_time, shut_down
 
 _READ_BYTES = 65536
 _MAXIMUM_PIPELINED_BYTES = 262144
@@ -96,6 +96,7 @@
             and not has_unread(self._client.fileno())
         )
         if idle:
+            await shut_down(self._client)
             await self._stop_reading()
         return idle
 
@@ -112,10 +113,11 @@
             or now - self.wait_started_at <= timeout
         ):
             return
-        if self._stream.incomplete:
+        # A process that is late may not have read what has arrived. Whoever
+        # sends on and on meets the limits on sizes.
+        if not has_unread(self._client.fileno()):
+            await shut_down(self._client)
             await self._stop_reading()
-        else:
-            await self.close_if_idle()
 
     async def close(self, cause: CutCause = CutCause.CLOSED) -> None:
         """Close the connection; what it holds is free at once.
