Read no more of a settings file than it may hold

Seen: SIGHUP with a settings file larger than the memory (8 TB, sparse) ended a gateway process with exit code 1, and with it all requests in it.

Cause: the file was read whole, and the MemoryError was no failure of the loader. test_large_file fails before with that error and passes now; the process, tried by hand, lives on and ends with 0 after SIGTERM.

Change: a file above 1 MB is a typed failure, found without reading the rest, so a file that fits the memory hardly can't use it up either.

--- a/src/daisydyke/platform/_settings.py
+++ b/src/daisydyke/platform/_settings.py
@@ -16,6 +16,7 @@
 from ..exceptions import InvalidDocumentError
 
 _BYTES_PER_MB = 1048576
+_MAXIMUM_FILE_BYTES = 1048576
 # Descriptors that the platform reserves for files.
 _FILE_DESCRIPTORS = 200
 
@@ -116,10 +117,14 @@
         The settings, or a failure that names the file and the fault.
     """
     try:
-        text = path.read_bytes()
+        with path.open('rb') as stream:
+            text = stream.read(_MAXIMUM_FILE_BYTES + 1)
     except OSError as error:
         reason = error.strerror or 'file cannot be read'
         return Failure(InvalidDocumentError(str(path), '$', reason))
+    if len(text) > _MAXIMUM_FILE_BYTES:
+        reason = f'file is larger than {_MAXIMUM_FILE_BYTES} bytes'
+        return Failure(InvalidDocumentError(str(path), '$', reason))
     return decode(text, _Settings, str(path)).bind(
         lambda settings: _to_node_settings(settings, str(path)),
     )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -25,6 +25,8 @@
     'platform': {'address': '10.200.1.7:8102', 'form': 'objects'},
     'not_yet_known': {'any': 1},
 }
+# Sparse, and more than the address space of any VM.
+LARGE_FILE_BYTES = 1 << 43
 
 
 class TestLoadNodeSettings(TestCase):
@@ -93,6 +95,16 @@
         failure = load_node_settings(self.path).failure()
         self.assertThat(str(failure), Contains('$'))
 
+    def test_large_file(self) -> None:
+        """A file beyond the memory is a failure, not an exception (LOST).
+
+        At a reload it ended the process with all requests in it.
+        """
+        with self.path.open('wb') as stream:
+            stream.truncate(LARGE_FILE_BYTES)
+        failure = load_node_settings(self.path).failure()
+        self.assertThat(str(failure), Contains('larger'))
+
     def test_missing_file(self) -> None:
         """A file that cannot be read is a failure."""
         error = load_node_settings(self.path).failure()
