Exit at once when the entry daemon stops, as the gateway does

Seen: a second signal beside callers that go on connecting ended daisydyke-entry with exit code 1: 'New tasks created during shutdown'.

Cause: the listener still accepts while the event loop ends its tasks one by one, and each connection starts a task.

Change: the process exits as soon as its last steps are done, without ending the other tasks one by one, so that none can start meanwhile. SignalStream no longer needs ignore(): the interpreter restores no actions of signals either.

--- a/src/daisydyke/_adapters/_signals.py
+++ b/src/daisydyke/_adapters/_signals.py
@@ -20,22 +20,12 @@
     def __init__(self, *numbers: signal.Signals) -> None:
         """Install the signal handlers and the wake-up socket."""
         receiver, sender = curio.socket.socketpair()
-        self._numbers = numbers
         self._receiver = receiver
         self._sender = sender
         signal.set_wakeup_fd(sender.fileno())
         for number in numbers:
             signal.signal(number, _ignore)
 
-    def ignore(self) -> None:
-        """Ignore the signals from now on, until the process has gone.
-
-        The interpreter restores the default action of signals that have a
-        handler before it exits.
-        """
-        for number in self._numbers:
-            signal.signal(number, signal.SIG_IGN)
-
     async def next(self) -> signal.Signals:
         """Wait for the next signal."""
         received = await self._receiver.recv(1)
--- a/src/daisydyke/_cli/_entry.py
+++ b/src/daisydyke/_cli/_entry.py
@@ -15,6 +15,7 @@
 from .._domain._model import Address
 from .._members._seeds import MemberDiscovery
 from .._settings._daemon import EntrySettings, load_entry_settings
+from ._exit import exit_at_once
 from ._settings_option import check_settings_option, unwrap_settings
 from ._tasks import TaskFunction, supervise
 from ._wiring import Entry, open_channel, wire_entry
@@ -55,10 +56,9 @@
         await group.spawn(_wait_for_second_signal, entry, signals)
     for task in tasks:
         await task.cancel()
-    # A worker that went on would start tasks while the event loop shuts down.
     for gate in entry.ownership.gates.values():
         await gate.abort()
-    signals.ignore()
+    exit_at_once()
 
 
 async def _start(entry: Entry) -> list[curio.Task]:
--- a/src/daisydyke/_cli/_gateway.py
+++ b/src/daisydyke/_cli/_gateway.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import gc
-import os
 import signal
 from functools import partial
 from pathlib import Path
-from typing import NoReturn
 
 import click
 import curio
@@ -19,6 +17,7 @@
 from .._members._speed import has_enough_faster
 from .._ports import VmRecord
 from ..platform._settings import NodeSettings, load_node_settings
+from ._exit import exit_at_once
 from ._gateway_wiring import Gateway
 from ._settings_option import check_settings_option, unwrap_settings
 from ._tasks import TaskFunction, supervise
@@ -66,17 +65,7 @@
         _log_settings_change(gateway, path)
     await leave(gateway)
     await gateway.close()
-    _exit()
-
-
-def _exit() -> NoReturn:
-    """Exit at once; the kernel closes the connections.
-
-    The event loop would first end its tasks one by one, which takes longer
-    than the grace period with thousands of them. The interpreter would
-    restore the default action of signals before the process has gone.
-    """
-    os._exit(0)
+    exit_at_once()
 
 
 def _keep_initial_objects() -> None:
--- a/tests/platform/test_entry_stop.py
+++ b/tests/platform/test_entry_stop.py
@@ -9,6 +9,7 @@
 import subprocess
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import ExitStack
 from http import HTTPStatus
 from threading import Event
 from typing import BinaryIO
@@ -44,6 +45,9 @@
 POLL_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 15.0
 SIGNAL_INTERVAL_S = 0.001
+OPEN_CONNECTION_COUNT = 300
+CONNECTOR_COUNT = 4
+CONNECT_INTERVAL_S = 0.002
 ENTRY = 'entry0'
 
 Answer = tuple[int, JsonObject]
@@ -110,6 +114,19 @@
     return caller
 
 
+def connect_until_gone(cluster: Cluster) -> None:
+    """Open connections, and keep them, until the daemon has gone."""
+    address = (cluster.entry_host(0), CALLER_PORT)
+    with ExitStack() as connections:
+        while True:
+            try:
+                connection = socket.create_connection(address)
+            except OSError:
+                return
+            connections.enter_context(connection)
+            time.sleep(CONNECT_INTERVAL_S)
+
+
 class Peer:
     """Another entry VM that forwards commits to the daemon.
 
@@ -245,6 +262,33 @@
                 cluster.kill(ENTRY)
         self.assertThat(exit_code, Equals(0))
 
+    def test_second_signal_beside_new_connections(self) -> None:
+        """A second signal ends the process with 0 while callers connect.
+
+        A connection that is accepted then starts a task: 'New tasks created
+        during shutdown'.
+        """
+        with (
+            make_cluster() as cluster,
+            ThreadPoolExecutor(CONNECTOR_COUNT) as threads,
+            ExitStack() as open_connections,
+        ):
+            wait_for_answers(cluster)
+            address = (cluster.entry_host(0), CALLER_PORT)
+            for _ in range(OPEN_CONNECTION_COUNT):
+                open_connections.enter_context(
+                    socket.create_connection(address)
+                )
+            cluster.send_signal(ENTRY, signal.SIGTERM)
+            for _ in range(CONNECTOR_COUNT):
+                threads.submit(connect_until_gone, cluster)
+            time.sleep(SENDING_S)
+            try:
+                exit_code = self._stop(cluster)
+            finally:
+                cluster.kill(ENTRY)
+        self.assertThat(exit_code, Equals(0))
+
     def test_answers_that_are_not_read(self) -> None:
         """A caller that reads no answers does not hold up a stop.
 
