Ignore SIGHUP in the entry daemon

Seen: SIGHUP, which a gateway takes for a reload, ended daisydyke-entry; a caller whose query ran had its connection closed without an answer.

Cause: only SIGTERM and SIGINT had a handler, so the default action ended the process. test_hangup fails before (RemoteDisconnected) and passes now.

Change: SIGHUP is ignored; the daemon has no settings to reload.

--- a/src/daisydyke/_cli/_entry.py
+++ b/src/daisydyke/_cli/_entry.py
@@ -43,8 +43,9 @@
 async def run_entry(settings: EntrySettings) -> None:
     """Run until SIGTERM or SIGINT, then shut down gracefully.
 
-    Another of these signals ends the shutdown immediately.
+    Another of these signals ends the shutdown immediately. SIGHUP is ignored.
     """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     entry = wire_entry(settings)
     signals = SignalStream(signal.SIGTERM, signal.SIGINT)
     tasks = await _start(entry)
--- a/tests/platform/test_entry_stop.py
+++ b/tests/platform/test_entry_stop.py
@@ -289,6 +289,18 @@
                 cluster.kill(ENTRY)
         self.assertThat(exit_code, Equals(0))
 
+    def test_hangup(self) -> None:
+        """SIGHUP does not end the process with the queries in it (LOST)."""
+        with make_cluster() as cluster:
+            wait_for_answers(cluster)
+            with ThreadPoolExecutor(1) as callers:
+                answer = callers.submit(send_query, cluster)
+                time.sleep(SENDING_S)
+                cluster.send_signal(ENTRY, signal.SIGHUP)
+            self.assertThat(answer.exception(), Equals(None))
+            self.assertThat(answer.result()[0], Equals(HTTPStatus.OK))
+            self.assertThat(cluster.terminate(ENTRY), Equals(0))
+
     def test_answers_that_are_not_read(self) -> None:
         """A caller that reads no answers does not hold up a stop.
 
