--- a/review/tools_2/world.py
+++ b/review/world_2.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, unquote, urlsplit
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 GATEWAY = ('python3', '-m', 'daisydyke._cli._gateway_main')  # deploy/system.toml
 PORTS = {'front': 8104, 'readiness': 8108, 'directory': 8100}
 STORE_PORT = 8102
